--- /dev/null
+++ b/src/steering/entry_list.cpp
@@ -0,0 +1,100 @@
+#include "kingcuptiller/steering/entry_list.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace kingcuptiller {
+
+namespace {
+
+// A half-open range of positions in the sorted list.
+struct position_range
+{
+    std::size_t first = 0;
+    std::size_t last = 0;
+
+    [[nodiscard]] std::size_t size() const { return last - first; }
+};
+
+template <typename Less>
+position_range equalRange(const std::vector<entry_identity> &entries, const client_place &place,
+                          const Less &less)
+{
+    const auto found = std::equal_range(entries.begin(), entries.end(), place, less);
+    return {static_cast<std::size_t>(found.first - entries.begin()),
+            static_cast<std::size_t>(found.second - entries.begin())};
+}
+
+// Orders entries and places by region, or by region and zone.
+struct by_region
+{
+    bool operator()(const entry_identity &left, const client_place &right) const
+    {
+        return left.region < right.region;
+    }
+    bool operator()(const client_place &left, const entry_identity &right) const
+    {
+        return left.region < right.region;
+    }
+};
+
+struct by_zone
+{
+    bool operator()(const entry_identity &left, const client_place &right) const
+    {
+        return std::tie(left.region, left.zone) < std::tie(right.region, right.zone);
+    }
+    bool operator()(const client_place &left, const entry_identity &right) const
+    {
+        return std::tie(left.region, left.zone) < std::tie(right.region, right.zone);
+    }
+};
+
+// Appends the entries of `outer` that are not in `inner`, starting at a position that depends on
+// the client, until the answer is full.
+void append(std::vector<const entry_identity *> &answer, const std::vector<entry_identity> &entries,
+            position_range outer, position_range inner, std::uint64_t hash)
+{
+    const std::size_t count = outer.size() - inner.size();
+    const std::size_t start = count == 0 ? 0 : hash % count;
+    for (std::size_t step = 0; step < count && answer.size() < entryListLength; ++step) {
+        std::size_t position = outer.first + (start + step) % count;
+        if (inner.size() > 0 && position >= inner.first)
+            position += inner.size();
+        answer.push_back(&entries[position]);
+    }
+}
+
+} // namespace
+
+entry_list::entry_list(const std::vector<entry_listing> &entries)
+{
+    for (const entry_listing &listing : entries) {
+        if (listing.serving)
+            m_entries.push_back(listing.entry);
+    }
+    std::sort(m_entries.begin(), m_entries.end(),
+              [](const entry_identity &left, const entry_identity &right) {
+                  return std::tie(left.region, left.zone, left.host)
+                      < std::tie(right.region, right.zone, right.host);
+              });
+}
+
+std::vector<const entry_identity *> entry_list::answer(const client_place &place,
+                                                       std::string_view client) const
+{
+    const std::uint64_t hash = XXH64(client.data(), client.size(), 0);
+    const position_range all{0, m_entries.size()};
+    const position_range region = equalRange(m_entries, place, by_region());
+    const position_range zone = equalRange(m_entries, place, by_zone());
+    std::vector<const entry_identity *> answer;
+    answer.reserve(std::min(entryListLength, m_entries.size()));
+    append(answer, m_entries, zone, {}, hash);
+    append(answer, m_entries, region, zone, hash);
+    append(answer, m_entries, all, region, hash);
+    return answer;
+}
+
+} // namespace kingcuptiller
