Compare entry list places by text

Cause: clang-tidy 14 reports comparisons generated from a defaulted operator<=> as modernize-use-nullptr, in identifiers.h. Change: the entry list compares the texts.

--- a/src/steering/entry_list.cpp
+++ b/src/steering/entry_list.cpp
@@ -27,28 +27,25 @@
             static_cast<std::size_t>(found.second - entries.begin())};
 }
 
-// Orders entries and places by region, or by region and zone.
+// Orders entries and places by region, or by region and zone. The texts are compared, since
+// clang-tidy 14 reports a comparison that is generated from a defaulted operator<=> as a literal
+// null pointer.
 struct by_region
 {
-    bool operator()(const entry_identity &left, const client_place &right) const
+    template <typename Left, typename Right>
+    bool operator()(const Left &left, const Right &right) const
     {
-        return left.region < right.region;
-    }
-    bool operator()(const client_place &left, const entry_identity &right) const
-    {
-        return left.region < right.region;
+        return left.region.text() < right.region.text();
     }
 };
 
 struct by_zone
 {
-    bool operator()(const entry_identity &left, const client_place &right) const
-    {
-        return std::tie(left.region, left.zone) < std::tie(right.region, right.zone);
-    }
-    bool operator()(const client_place &left, const entry_identity &right) const
+    template <typename Left, typename Right>
+    bool operator()(const Left &left, const Right &right) const
     {
-        return std::tie(left.region, left.zone) < std::tie(right.region, right.zone);
+        return std::tie(left.region.text(), left.zone.text())
+            < std::tie(right.region.text(), right.zone.text());
     }
 };
 
@@ -77,8 +74,8 @@
     }
     std::sort(m_entries.begin(), m_entries.end(),
               [](const entry_identity &left, const entry_identity &right) {
-                  return std::tie(left.region, left.zone, left.host)
-                      < std::tie(right.region, right.zone, right.host);
+                  return std::tie(left.region.text(), left.zone.text(), left.host.text())
+                      < std::tie(right.region.text(), right.zone.text(), right.host.text());
               });
 }
 
