Add the storage and consensus modules with a first committing fleet

Cause: control needs a replicated, durable log; nothing of it existed. Ruled out: physical truncation of the log file for replaced entries. Entries with an old index replace the former ones when the file is read, so the file only grows between two compactions and a crash can only tear its end.

--- /dev/null
+++ b/src/consensus/peer_message.cpp
@@ -0,0 +1,275 @@
+#include "kingcuptiller/consensus/peer_message.h"
+
+#include "kingcuptiller/consensus/membership.h"
+#include "kingcuptiller/values/error.h"
+
+#include "peer_json.h"
+
+#include <algorithm>
+#include <array>
+
+namespace kingcuptiller {
+
+namespace {
+
+using internal::field;
+using internal::flagField;
+using internal::numberField;
+using internal::reportMalformed;
+using internal::signedField;
+using internal::textField;
+
+// The names of the bodies, in the order of the variant.
+constexpr std::array<const char *, std::variant_size_v<peer_message_body>> bodyNames = {
+    "vote_request",  "vote_answer",     "append_request", "append_answer",
+    "snapshot_part", "snapshot_answer", "join_request",   "superseded_notice"};
+
+struct entry_kind_name
+{
+    record_kind kind;
+    const char *text;
+};
+constexpr std::array<entry_kind_name, 3> entryKinds = {{{record_kind::command, "command"},
+                                                        {record_kind::membership, "membership"},
+                                                        {record_kind::empty, "empty"}}};
+
+Json::Value toJson(const log_record &entry)
+{
+    Json::Value value;
+    value["term"] = entry.term.number();
+    const auto *const kind =
+        std::find_if(entryKinds.begin(), entryKinds.end(),
+                     [&](const auto &known) { return known.kind == entry.kind; });
+    if (kind == entryKinds.end())
+        throw error(result_code::internal_fault, "the record is not an entry of the log");
+    value["kind"] = kind->text;
+    value["payload"] = entry.payload;
+    return value;
+}
+
+log_record entryFrom(const Json::Value &value, log_index index)
+{
+    const std::string kindName = textField(value, "kind");
+    const auto *const kind =
+        std::find_if(entryKinds.begin(), entryKinds.end(),
+                     [&](const auto &known) { return kindName == known.text; });
+    if (kind == entryKinds.end())
+        reportMalformed("unknown kind of entry");
+    log_record entry{kind->kind, epoch_number(numberField(value, "term")), index,
+                     textField(value, "payload")};
+    if (entry.kind == record_kind::membership)
+        static_cast<void>(decodeMembership(entry.payload));
+    return entry;
+}
+
+Json::Value bodyToJson(const vote_request &body)
+{
+    Json::Value value;
+    value["preVote"] = body.preVote;
+    value["lastIndex"] = body.lastIndex.number();
+    value["lastTerm"] = body.lastTerm.number();
+    return value;
+}
+
+Json::Value bodyToJson(const vote_answer &body)
+{
+    Json::Value value;
+    value["preVote"] = body.preVote;
+    value["granted"] = body.granted;
+    return value;
+}
+
+Json::Value bodyToJson(const append_request &body)
+{
+    Json::Value value;
+    value["previousIndex"] = body.previousIndex.number();
+    value["previousTerm"] = body.previousTerm.number();
+    value["entries"] = Json::Value(Json::arrayValue);
+    for (const log_record &entry : body.entries)
+        value["entries"].append(toJson(entry));
+    value["committed"] = body.committed.number();
+    value["sentAt"] = body.sentAt;
+    return value;
+}
+
+Json::Value bodyToJson(const append_answer &body)
+{
+    Json::Value value;
+    value["matches"] = body.matches;
+    value["index"] = body.index.number();
+    value["sentAt"] = body.sentAt;
+    return value;
+}
+
+Json::Value bodyToJson(const snapshot_part &body)
+{
+    Json::Value value;
+    value["index"] = body.index.number();
+    value["snapshotTerm"] = body.snapshotTerm.number();
+    value["membership"] = body.membership;
+    value["offset"] = body.offset;
+    value["totalBytes"] = body.totalBytes;
+    value["bytes"] = internal::toBase64(body.bytes);
+    value["sentAt"] = body.sentAt;
+    return value;
+}
+
+Json::Value bodyToJson(const snapshot_answer &body)
+{
+    Json::Value value;
+    value["index"] = body.index.number();
+    value["nextOffset"] = body.nextOffset;
+    value["installed"] = body.installed;
+    value["sentAt"] = body.sentAt;
+    return value;
+}
+
+Json::Value bodyToJson(const join_request &body)
+{
+    Json::Value value;
+    value["founding"] = body.founding;
+    value["hosts"] = Json::Value(Json::arrayValue);
+    for (const host_id &host : body.hosts)
+        value["hosts"].append(host.text());
+    return value;
+}
+
+Json::Value bodyToJson(const superseded_notice &)
+{
+    return {Json::objectValue};
+}
+
+append_request appendRequestFrom(const Json::Value &value)
+{
+    append_request body{log_index(numberField(value, "previousIndex")),
+                        epoch_number(numberField(value, "previousTerm")),
+                        {},
+                        log_index(numberField(value, "committed")),
+                        signedField(value, "sentAt")};
+    log_index index = body.previousIndex;
+    for (const Json::Value &entry : internal::arrayField(value, "entries")) {
+        index = index.next();
+        body.entries.push_back(entryFrom(entry, index));
+    }
+    return body;
+}
+
+snapshot_part snapshotPartFrom(const Json::Value &value)
+{
+    snapshot_part body{log_index(numberField(value, "index")),
+                       epoch_number(numberField(value, "snapshotTerm")),
+                       textField(value, "membership"),
+                       numberField(value, "offset"),
+                       numberField(value, "totalBytes"),
+                       internal::fromBase64(textField(value, "bytes")),
+                       signedField(value, "sentAt")};
+    static_cast<void>(decodeMembership(body.membership));
+    if (body.totalBytes > maximumPayloadBytes || body.offset > body.totalBytes
+        || body.bytes.size() > body.totalBytes - body.offset)
+        reportMalformed("the part lies outside of its snapshot");
+    return body;
+}
+
+join_request joinRequestFrom(const Json::Value &value)
+{
+    join_request body{flagField(value, "founding"), {}};
+    for (const Json::Value &host : internal::arrayField(value, "hosts")) {
+        if (!host.isString())
+            reportMalformed("a host is not a text");
+        body.hosts.emplace_back(host.asString());
+    }
+    return body;
+}
+
+peer_message_body bodyFrom(const std::string &kind, const Json::Value &value)
+{
+    if (kind == bodyNames[0])
+        return vote_request{flagField(value, "preVote"), log_index(numberField(value, "lastIndex")),
+                            epoch_number(numberField(value, "lastTerm"))};
+    if (kind == bodyNames[1])
+        return vote_answer{flagField(value, "preVote"), flagField(value, "granted")};
+    if (kind == bodyNames[2])
+        return appendRequestFrom(value);
+    if (kind == bodyNames[3])
+        return append_answer{flagField(value, "matches"), log_index(numberField(value, "index")),
+                             signedField(value, "sentAt")};
+    if (kind == bodyNames[4])
+        return snapshotPartFrom(value);
+    if (kind == bodyNames[5])
+        return snapshot_answer{log_index(numberField(value, "index")),
+                               numberField(value, "nextOffset"), flagField(value, "installed"),
+                               signedField(value, "sentAt")};
+    if (kind == bodyNames[6])
+        return joinRequestFrom(value);
+    if (kind == bodyNames[7])
+        return superseded_notice{};
+    reportMalformed("unknown kind of message");
+}
+
+// The length of the UTF-8 sequence at the start of `text`, or 0 when it is not valid.
+std::size_t sequenceLength(std::string_view text)
+{
+    const auto byte = [&](std::size_t position) {
+        return position < text.size() ? static_cast<unsigned char>(text[position]) : 0U;
+    };
+    const unsigned first = byte(0);
+    if (first < 0x80)
+        return 1;
+    const std::size_t length = first >= 0xf0 ? 4 : first >= 0xe0 ? 3 : 2;
+    if (first < 0xc2 || first > 0xf4)
+        return 0;
+    for (std::size_t position = 1; position < length; ++position) {
+        if ((byte(position) & 0xc0U) != 0x80)
+            return 0;
+    }
+    // Overlong forms, surrogates and values above U+10FFFF.
+    const unsigned second = byte(1);
+    if ((first == 0xe0 && second < 0xa0) || (first == 0xed && second > 0x9f)
+        || (first == 0xf0 && second < 0x90) || (first == 0xf4 && second > 0x8f))
+        return 0;
+    return length;
+}
+
+} // namespace
+
+std::string encodePeerMessage(const peer_message &message)
+{
+    Json::Value value;
+    value["from"] = internal::toJson(message.from);
+    value["to"] = internal::toJson(message.to);
+    value["term"] = message.term.number();
+    value["kind"] = bodyNames[message.body.index()];
+    value["body"] = std::visit([](const auto &body) { return bodyToJson(body); }, message.body);
+    return internal::written(value);
+}
+
+peer_message decodePeerMessage(std::string_view text)
+{
+    if (text.size() > maximumPeerMessageBytes)
+        throw error(result_code::message_too_large, "the message is larger than 1 MiB");
+    const Json::Value value = internal::parsed(text);
+    return {internal::replicaFrom(field(value, "from")), internal::replicaFrom(field(value, "to")),
+            epoch_number(numberField(value, "term")),
+            bodyFrom(textField(value, "kind"), field(value, "body"))};
+}
+
+std::size_t commandJsonBytes(std::string_view command)
+{
+    std::size_t bytes = 2;
+    while (!command.empty()) {
+        const std::size_t length = sequenceLength(command);
+        if (length == 0)
+            reportMalformed("the command is not UTF-8");
+        const char first = command.front();
+        if (length > 1)
+            bytes += 3 * length;
+        else if (static_cast<unsigned char>(first) < 0x20 || first == 0x7f)
+            bytes += 6;
+        else
+            bytes += first == '"' || first == '\\' || first == '/' ? 2 : 1;
+        command.remove_prefix(length);
+    }
+    return bytes;
+}
+
+} // namespace kingcuptiller
--- /dev/null
+++ b/src/consensus/replica.cpp
@@ -0,0 +1,176 @@
+#include "kingcuptiller/consensus/replica.h"
+
+#include "kingcuptiller/values/error.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcuptiller {
+
+namespace {
+
+// Events that the owner does not collect are dropped, oldest first, so that they cannot pile up.
+constexpr std::size_t maximumEvents = 1000;
+
+} // namespace
+
+std::string_view name(replica_role role)
+{
+    switch (role) {
+    case replica_role::follower:
+        return "follower";
+    case replica_role::candidate:
+        return "candidate";
+    case replica_role::leader:
+        return "leader";
+    }
+    return "follower";
+}
+
+replica::replica(replica_settings settings, replica_hooks hooks, replica_store &store, instant now)
+    : m_settings(std::move(settings))
+    , m_hooks(std::move(hooks))
+    , m_store(store)
+    , m_now(now)
+    , m_started(now)
+    , m_leaseEnd(now)
+{
+    std::sort(m_settings.hosts.begin(), m_settings.hosts.end());
+    if (m_store.snapshotIndex() > log_index(0))
+        m_hooks.restoreSnapshot(m_store.readSnapshot().state);
+    m_committed = m_store.snapshotIndex();
+    m_handedOut = m_committed;
+    m_synced = m_store.lastIndex();
+    loadMemberships();
+    restartElectionTimer();
+    if (m_store.state() == folder_state::damaged)
+        addEvent("data_folder_damaged", m_store.damage());
+}
+
+void replica::advanceClock(instant now)
+{
+    m_now = std::max(m_now, now);
+}
+
+void replica::tick(instant now)
+{
+    advanceClock(now);
+    if (m_superseded)
+        return;
+    compact();
+    if (m_role == replica_role::leader)
+        checkQuorum();
+    if (m_role == replica_role::leader) {
+        notePresence();
+        replaceLostReplicas();
+        resendParts();
+        if (m_now >= m_heartbeatDue)
+            sendAppends(true);
+    } else if (!isMember()) {
+        requestToJoin();
+        formFleet();
+    } else if (m_now >= m_electionDue) {
+        startElection(true);
+    }
+}
+
+void replica::receive(const peer_message &message, instant now)
+{
+    advanceClock(now);
+    const replica_identity &self = m_store.identity();
+    const bool addressed = message.to.host == self.host
+        && (message.to.incarnation.empty() || message.to.incarnation == self.incarnation);
+    if (m_superseded || !addressed || message.from.host == self.host)
+        return;
+    std::visit([&](const auto &body) { handle(message, body); }, message.body);
+}
+
+std::optional<log_index> replica::propose(const std::string &command, instant now)
+{
+    advanceClock(now);
+    if (commandJsonBytes(command) > maximumAppendJsonBytes)
+        throw error(result_code::message_too_large, "the command does not fit into one message");
+    if (m_role != replica_role::leader || m_uncommittedBytes > m_settings.maximumUncommittedBytes)
+        return std::nullopt;
+    return appendOwn(record_kind::command, command);
+}
+
+std::vector<peer_message> replica::takeOutgoing()
+{
+    m_store.sync();
+    m_synced = m_store.lastIndex();
+    if (m_role == replica_role::leader) {
+        advanceCommit();
+        updateLease();
+        sendAppends(false);
+    }
+    return std::exchange(m_outgoing, {});
+}
+
+std::vector<committed_entry> replica::takeCommitted()
+{
+    std::vector<committed_entry> result;
+    while (m_handedOut < m_committed) {
+        m_handedOut = m_handedOut.next();
+        const log_record &entry = m_store.entry(m_handedOut);
+        if (entry.kind == record_kind::command)
+            result.push_back({entry.index, entry.term, entry.payload});
+    }
+    return result;
+}
+
+bool replica::hasLease(instant now) const
+{
+    // Entries of former terms are only known to be committed when the first own one is, and the
+    // owner's state only contains them when they have been handed out.
+    return m_role == replica_role::leader && std::max(now, m_now) < m_leaseEnd
+        && m_handedOut >= m_firstOwnIndex;
+}
+
+instant replica::leaseEnd() const
+{
+    return m_leaseEnd;
+}
+
+replica_status replica::status() const
+{
+    replica_status result;
+    result.self = m_store.identity();
+    result.role = m_role;
+    result.voter = isMember();
+    result.superseded = m_superseded;
+    if (m_leader)
+        result.leader = m_leader->host;
+    result.term = term();
+    result.committed = m_committed;
+    result.lastIndex = m_store.lastIndex();
+    result.members = members();
+    for (const auto &[identity, peer] : m_peers)
+        result.peers.push_back(
+            {identity, peer.voter, isReachable(peer), peer.transfer.has_value(), peer.match});
+    return result;
+}
+
+std::vector<replica_event> replica::takeEvents()
+{
+    return std::exchange(m_events, {});
+}
+
+void replica::send(const replica_identity &to, peer_message_body body)
+{
+    send(to, term(), std::move(body));
+}
+
+void replica::send(const replica_identity &to, epoch_number term, peer_message_body body)
+{
+    m_outgoing.push_back({m_store.identity(), to, term, std::move(body)});
+}
+
+void replica::addEvent(const std::string &kind, const std::string &detail)
+{
+    if (m_events.size() >= maximumEvents)
+        m_events.erase(m_events.begin());
+    m_events.push_back({m_now, kind, detail});
+}
+
+} // namespace kingcuptiller
--- /dev/null
+++ b/src/consensus/replica_election.cpp
@@ -0,0 +1,156 @@
+#include "kingcuptiller/consensus/replica.h"
+
+#include <algorithm>
+#include <tuple>
+
+// Elections: pre-vote, vote, refusal to vote while a leader may hold a lease, and stepping down.
+
+namespace kingcuptiller {
+
+void replica::restartElectionTimer()
+{
+    const auto range = static_cast<std::uint64_t>(
+        microseconds(m_settings.maximumElectionTimeout - m_settings.minimumElectionTimeout)
+            .count());
+    m_electionDue = m_now + m_settings.minimumElectionTimeout
+        + microseconds(static_cast<std::int64_t>(m_hooks.random() % (range + 1)));
+}
+
+void replica::adoptTerm(epoch_number term)
+{
+    m_store.saveVote({term, std::nullopt});
+    becomeFollower();
+}
+
+void replica::becomeFollower()
+{
+    if (m_role == replica_role::leader)
+        addEvent("leader_lost", "term " + std::to_string(term().number()));
+    m_role = replica_role::follower;
+    m_leader.reset();
+    m_votes.clear();
+    m_peers.clear();
+    restartElectionTimer();
+}
+
+bool replica::refusesToVote() const
+{
+    // A leader may count this replica in its lease for as long as the shortest election timeout. A
+    // replica that has just started cannot know whether it was.
+    const milliseconds wait = m_settings.minimumElectionTimeout;
+    return m_now - m_started < wait || (m_leaderHeard && m_now - *m_leaderHeard < wait)
+        || (m_role == replica_role::leader && m_now < m_leaseEnd);
+}
+
+void replica::startElection(bool preVote)
+{
+    restartElectionTimer();
+    if (refusesToVote())
+        return;
+    m_role = replica_role::candidate;
+    m_preVote = preVote;
+    m_votes.clear();
+    m_leader.reset();
+    if (!preVote)
+        m_store.saveVote({term().next(), m_store.identity()});
+    const epoch_number wanted = preVote ? term().next() : term();
+    const log_index last = m_store.lastIndex();
+    for (const replica_identity &voter : members().voters) {
+        if (voter != m_store.identity())
+            send(voter, wanted, vote_request{preVote, last, m_store.termAt(last)});
+    }
+    countVote(m_store.identity());
+}
+
+void replica::countVote(const replica_identity &voter)
+{
+    if (!members().contains(voter))
+        return;
+    m_votes.insert(voter);
+    if (m_votes.size() < members().majority())
+        return;
+    if (m_preVote)
+        startElection(false);
+    else
+        becomeLeader();
+}
+
+void replica::becomeLeader()
+{
+    m_role = replica_role::leader;
+    m_votes.clear();
+    m_leader = m_store.identity();
+    m_becameLeader = m_now;
+    m_leaseEnd = m_now;
+    m_heartbeatDue = m_now;
+    m_uncommittedBytes = 0;
+    for (log_index index = m_committed.next(); index <= m_store.lastIndex(); index = index.next())
+        m_uncommittedBytes += m_store.entry(index).payload.size();
+    m_peers.clear();
+    updatePeers();
+    m_firstOwnIndex = appendOwn(record_kind::empty, {});
+    addEvent("leader_elected",
+             m_store.identity().host.text() + ", term " + std::to_string(term().number()));
+}
+
+bool replica::hasNewestLog(const vote_request &request) const
+{
+    const log_index last = m_store.lastIndex();
+    return std::tuple(request.lastTerm, request.lastIndex)
+        >= std::tuple(m_store.termAt(last), last);
+}
+
+void replica::handle(const peer_message &message, const vote_request &request)
+{
+    noteStranger(message.from);
+    if (request.preVote) {
+        const bool granted = message.term > term() && hasNewestLog(request) && !refusesToVote();
+        send(message.from, granted ? message.term : term(), vote_answer{true, granted});
+        return;
+    }
+    // Not even the term is taken over: that would make a leader step down that holds a lease.
+    if (refusesToVote())
+        return;
+    if (message.term > term())
+        adoptTerm(message.term);
+    const std::optional<replica_identity> &candidate = m_store.vote().candidate;
+    const bool granted = message.term == term() && hasNewestLog(request)
+        && (!candidate || *candidate == message.from);
+    if (granted && !candidate) {
+        m_store.saveVote({term(), message.from});
+        restartElectionTimer();
+    }
+    send(message.from, vote_answer{false, granted});
+}
+
+void replica::handle(const peer_message &message, const vote_answer &answer)
+{
+    if (!answer.granted) {
+        if (message.term > term())
+            adoptTerm(message.term);
+        return;
+    }
+    const epoch_number wanted = m_preVote ? term().next() : term();
+    if (m_role == replica_role::candidate && answer.preVote == m_preVote && message.term == wanted)
+        countVote(message.from);
+}
+
+void replica::heardFromLeader(const peer_message &message)
+{
+    if (message.term > term())
+        adoptTerm(message.term);
+    else if (m_role == replica_role::candidate)
+        becomeFollower();
+    m_leader = message.from;
+    m_leaderHeard = m_now;
+    restartElectionTimer();
+}
+
+void replica::checkQuorum()
+{
+    // A leader that no majority answers steps down, so that callers stop waiting for it.
+    if (m_now - std::max(m_becameLeader, m_leaseEnd) > m_settings.maximumElectionTimeout)
+        becomeFollower();
+}
+
+} // namespace kingcuptiller
--- /dev/null
+++ b/src/consensus/replica_membership.cpp
@@ -0,0 +1,243 @@
+#include "kingcuptiller/consensus/replica.h"
+
+#include <algorithm>
+#include <utility>
+
+// Who votes: formation of a fleet, learners, and the replacement of replicas that lost their disk.
+
+namespace kingcuptiller {
+
+namespace {
+
+constexpr milliseconds joinInterval(200);
+// A founding mark that was heard longer ago no longer counts, and a learner that was silent for
+// longer may be replaced by another incarnation of its host.
+constexpr milliseconds joinLifetime(2000);
+// A learner that was silent for longer is forgotten; it makes itself known when it is back.
+constexpr milliseconds learnerLifetime(10000);
+
+} // namespace
+
+const membership &replica::members() const
+{
+    static const membership nobody;
+    return m_memberships.empty() ? nobody : m_memberships.back().value;
+}
+
+void replica::loadMemberships()
+{
+    m_memberships.clear();
+    const log_index snapshot = m_store.snapshotIndex();
+    if (snapshot > log_index(0))
+        m_memberships.push_back({snapshot, decodeMembership(m_store.readSnapshot().membership)});
+    for (log_index index = std::max(snapshot, m_store.baseIndex()).next();
+         index <= m_store.lastIndex(); index = index.next()) {
+        const log_record &entry = m_store.entry(index);
+        if (entry.kind == record_kind::membership)
+            m_memberships.push_back({index, decodeMembership(entry.payload)});
+    }
+}
+
+void replica::noteMembership(log_index index, const std::string &payload)
+{
+    m_memberships.push_back({index, decodeMembership(payload)});
+    if (m_role == replica_role::leader)
+        updatePeers();
+}
+
+void replica::dropMembershipsFrom(log_index index)
+{
+    while (!m_memberships.empty() && m_memberships.back().index >= index)
+        m_memberships.pop_back();
+}
+
+const membership &replica::membershipAt(log_index index) const
+{
+    const auto after = std::find_if(m_memberships.begin(), m_memberships.end(),
+                                    [&](const auto &record) { return record.index > index; });
+    static const membership nobody;
+    return after == m_memberships.begin() ? nobody : std::prev(after)->value;
+}
+
+void replica::updatePeers()
+{
+    const log_index changedBy = m_memberships.back().index;
+    const membership &former = membershipAt(log_index(changedBy.number() - 1));
+    std::erase_if(m_peers, [&](const auto &peer) {
+        return peer.second.voter && !members().contains(peer.first);
+    });
+    for (const replica_identity &voter : members().voters) {
+        if (voter == m_store.identity())
+            continue;
+        auto [position, added] = m_peers.try_emplace(voter);
+        peer_progress &peer = position->second;
+        if (added) {
+            peer.next = m_store.lastIndex().next();
+            peer.lastHeard = m_now;
+        }
+        peer.voter = true;
+        if (changedBy > m_committed && !former.voters.empty() && !former.contains(voter))
+            peer.addedBy = changedBy;
+    }
+}
+
+bool replica::isUnformed() const
+{
+    return members().voters.empty() && m_store.lastIndex() == log_index(0);
+}
+
+void replica::requestToJoin()
+{
+    if (m_now < m_joinDue)
+        return;
+    m_joinDue = m_now + joinInterval;
+    for (const host_id &host : m_settings.hosts) {
+        if (host == m_store.identity().host)
+            continue;
+        const auto known = m_joins.find(host);
+        send({host, known == m_joins.end() ? incarnation_id() : known->second.identity.incarnation},
+             join_request{m_store.founding() && isUnformed(), m_settings.hosts});
+    }
+}
+
+void replica::handle(const peer_message &message, const join_request &request)
+{
+    const auto known = m_joins.find(message.from.host);
+    // A delayed request of a lost incarnation must not replace that of its successor.
+    if (known != m_joins.end() && known->second.identity != message.from
+        && m_now - known->second.received < joinLifetime)
+        return;
+    m_joins[message.from.host] = {message.from, request, m_now, !message.to.incarnation.empty()};
+    noteStranger(message.from);
+}
+
+void replica::formFleet()
+{
+    if (!m_store.founding() || !isUnformed() || m_settings.hosts.front() != m_store.identity().host)
+        return;
+    membership founders;
+    founders = founders.with(m_store.identity());
+    for (const host_id &host : m_settings.hosts) {
+        const auto join = m_joins.find(host);
+        if (host == m_store.identity().host)
+            continue;
+        // A request that names this incarnation was sent after this replica started; an older one
+        // could be from before its sender became part of a fleet.
+        if (join == m_joins.end() || !join->second.addressed || !join->second.request.founding
+            || join->second.request.hosts != m_settings.hosts
+            || m_now - join->second.received > joinLifetime)
+            return;
+        founders = founders.with(join->second.identity);
+    }
+    m_store.saveVote({epoch_number(1), m_store.identity()});
+    appendOwn(record_kind::membership, encodeMembership(founders));
+    m_electionDue = m_now;
+    addEvent("fleet_formed", std::to_string(founders.voters.size()) + " hosts");
+}
+
+bool replica::comesFromExpectedFounder(const peer_message &message) const
+{
+    // After this replica offered itself to an incarnation, a fleet that a former incarnation of the
+    // same host began must not be joined: there would be two.
+    const auto known = m_joins.find(message.from.host);
+    return !isUnformed() || known == m_joins.end() || known->second.identity == message.from;
+}
+
+void replica::noteStranger(const replica_identity &identity)
+{
+    const bool listed = std::find(m_settings.hosts.begin(), m_settings.hosts.end(), identity.host)
+        != m_settings.hosts.end();
+    if (m_role != replica_role::leader || !listed || members().contains(identity))
+        return;
+    const replica_identity *const voter = members().onHost(identity.host);
+    const auto join = m_joins.find(identity.host);
+    const bool joins = join != m_joins.end() && join->second.identity == identity;
+    // A replica that takes part in elections but is not a voter any more: another incarnation of
+    // its host is.
+    if (voter != nullptr && !joins) {
+        if (hasLease(m_now) && m_memberships.back().index <= m_committed)
+            send(identity, superseded_notice{});
+        return;
+    }
+    noteLearner(identity);
+}
+
+void replica::noteLearner(const replica_identity &identity)
+{
+    if (m_peers.contains(identity))
+        return;
+    for (const auto &[other, peer] : m_peers) {
+        if (!peer.voter && other.host == identity.host && m_now - peer.lastHeard < joinLifetime)
+            return;
+    }
+    std::erase_if(m_peers, [&](const auto &peer) {
+        return !peer.second.voter && peer.first.host == identity.host;
+    });
+    peer_progress learner;
+    learner.next = m_store.lastIndex().next();
+    learner.lastHeard = m_now;
+    learner.roundEnd = m_store.lastIndex();
+    learner.roundStarted = m_now;
+    m_peers.emplace(identity, learner);
+    addEvent("replica_learning", identity.host.text() + " as " + identity.incarnation.text());
+}
+
+bool replica::mayChangeMembership() const
+{
+    // A change before the first entry of the own term is committed could overlap with an unfinished
+    // change of a former leader, and two such changes need not share a majority.
+    return m_role == replica_role::leader && m_committed >= m_firstOwnIndex
+        && m_memberships.back().index <= m_committed;
+}
+
+void replica::changeMembership(const membership &value)
+{
+    appendOwn(record_kind::membership, encodeMembership(value));
+}
+
+void replica::replaceLostReplicas()
+{
+    if (!mayChangeMembership())
+        return;
+    for (const auto &[identity, peer] : m_peers) {
+        if (peer.voter || !peer.caughtUp || !isReachable(peer))
+            continue;
+        const replica_identity *const old = members().onHost(identity.host);
+        if (old == nullptr) {
+            changeMembership(members().with(identity));
+            return;
+        }
+        const auto lost = m_peers.find(*old);
+        if (lost != m_peers.end()
+            && m_now - lost->second.lastHeard >= m_settings.replacementDelay) {
+            addEvent("replica_removed", old->host.text() + " as " + old->incarnation.text());
+            changeMembership(members().without(*old));
+            return;
+        }
+    }
+}
+
+void replica::notePresence()
+{
+    std::erase_if(m_peers, [&](const auto &peer) {
+        return !peer.second.voter && m_now - peer.second.lastHeard > learnerLifetime;
+    });
+    for (auto &[identity, peer] : m_peers) {
+        const bool lost = m_now - peer.lastHeard >= m_settings.replacementDelay;
+        if (lost != peer.lost)
+            addEvent(lost ? "replica_lost" : "replica_returned", identity.host.text());
+        peer.lost = lost;
+    }
+}
+
+void replica::handle(const peer_message &message, const superseded_notice &)
+{
+    // The term does not matter: an incarnation that has been replaced never comes back.
+    if (message.to.incarnation != m_store.identity().incarnation)
+        return;
+    becomeFollower();
+    m_superseded = true;
+    addEvent("identity_superseded", "by the fleet of leader " + message.from.host.text());
+}
+
+} // namespace kingcuptiller
--- /dev/null
+++ b/src/consensus/replica_snapshot.cpp
@@ -0,0 +1,155 @@
+#include "kingcuptiller/consensus/replica.h"
+
+#include <algorithm>
+
+// Compaction of the log and the transfer of snapshots to replicas that are far behind.
+
+namespace kingcuptiller {
+
+namespace {
+
+// Longer than a round trip between two regions, shorter than an election timeout.
+constexpr milliseconds partTimeout(300);
+// How far behind the snapshot, in snapshots, a reachable replica may be and still find its entries.
+constexpr std::uint64_t keptSnapshots = 4;
+
+std::int64_t toMicroseconds(instant time)
+{
+    return time.time_since_epoch().count();
+}
+
+} // namespace
+
+void replica::compact()
+{
+    if (m_handedOut.number() - m_store.snapshotIndex().number() <= m_settings.compactionEntries
+        || m_store.bytesSinceSnapshot() <= m_store.snapshotBytes())
+        return;
+    stored_snapshot snapshot{m_handedOut, m_store.termAt(m_handedOut),
+                             encodeMembership(membershipAt(m_handedOut)), m_hooks.takeSnapshot()};
+    m_store.saveSnapshot(snapshot, keepAfter());
+    m_synced = m_store.lastIndex();
+    while (m_memberships.size() > 1 && m_memberships[1].index <= m_store.snapshotIndex())
+        m_memberships.erase(m_memberships.begin());
+}
+
+log_index replica::keepAfter() const
+{
+    const auto before = [&](std::uint64_t entries) {
+        return m_handedOut.number() - std::min(m_handedOut.number(), entries);
+    };
+    std::uint64_t result = before(m_settings.keptEntries);
+    const std::uint64_t least = before(keptSnapshots * m_settings.compactionEntries);
+    for (const auto &[identity, peer] : m_peers) {
+        if (!isReachable(peer))
+            continue;
+        const log_index needed = peer.transfer ? peer.transfer->snapshot->index : peer.match;
+        result = std::min(result, std::max(needed.number(), least));
+    }
+    return log_index(result);
+}
+
+void replica::startTransfer(const replica_identity &to, peer_progress &peer)
+{
+    std::shared_ptr<const stored_snapshot> snapshot = m_loadedSnapshot.lock();
+    if (!snapshot || snapshot->index != m_store.snapshotIndex()) {
+        snapshot = std::make_shared<const stored_snapshot>(m_store.readSnapshot());
+        m_loadedSnapshot = snapshot;
+    }
+    peer.transfer = snapshot_transfer{std::move(snapshot), 0, m_now};
+    sendPart(to, peer);
+}
+
+void replica::sendPart(const replica_identity &to, peer_progress &peer)
+{
+    snapshot_transfer &transfer = *peer.transfer;
+    transfer.sent = m_now;
+    const stored_snapshot &snapshot = *transfer.snapshot;
+    send(to,
+         snapshot_part{snapshot.index, snapshot.term, snapshot.membership, transfer.offset,
+                       snapshot.state.size(),
+                       snapshot.state.substr(transfer.offset, m_settings.snapshotPartBytes),
+                       toMicroseconds(m_now)});
+}
+
+void replica::resendParts()
+{
+    for (auto &[identity, peer] : m_peers) {
+        if (!peer.transfer)
+            continue;
+        if (!isReachable(peer))
+            peer.transfer.reset();
+        else if (m_now - peer.transfer->sent >= partTimeout)
+            sendPart(identity, peer);
+    }
+}
+
+void replica::handle(const peer_message &message, const snapshot_part &part)
+{
+    const bool ownTerm = m_role == replica_role::leader && message.term == term();
+    if (ownTerm || !comesFromExpectedFounder(message))
+        return;
+    if (message.term < term()) {
+        send(message.from, snapshot_answer{part.index, 0, false, part.sentAt});
+        return;
+    }
+    heardFromLeader(message);
+    snapshot_answer answer{part.index, 0, part.index <= m_committed, part.sentAt};
+    if (!answer.installed) {
+        const bool continues = m_incoming && m_incoming->leader == message.from
+            && m_incoming->snapshot.index == part.index
+            && m_incoming->snapshot.term == part.snapshotTerm
+            && m_incoming->totalBytes == part.totalBytes;
+        if (!continues)
+            m_incoming = partial_snapshot{message.from,
+                                          {part.index, part.snapshotTerm, part.membership, {}},
+                                          part.totalBytes};
+        std::string &state = m_incoming->snapshot.state;
+        if (part.offset == state.size())
+            state += part.bytes;
+        answer.nextOffset = state.size();
+        if (state.size() == part.totalBytes) {
+            install(m_incoming->snapshot);
+            m_incoming.reset();
+            answer.installed = true;
+        }
+    }
+    send(message.from, answer);
+}
+
+void replica::install(const stored_snapshot &snapshot)
+{
+    m_store.saveSnapshot(snapshot, snapshot.index);
+    m_synced = m_store.lastIndex();
+    m_committed = snapshot.index;
+    m_handedOut = snapshot.index;
+    loadMemberships();
+    m_hooks.restoreSnapshot(snapshot.state);
+    addEvent("snapshot_installed", "up to entry " + std::to_string(snapshot.index.number()));
+}
+
+void replica::handle(const peer_message &message, const snapshot_answer &answer)
+{
+    if (message.term > term()) {
+        adoptTerm(message.term);
+        return;
+    }
+    peer_progress *const peer = answeringPeer(message);
+    if (peer == nullptr)
+        return;
+    noteAnswer(*peer, answer.sentAt);
+    if (!peer->transfer || peer->transfer->snapshot->index != answer.index)
+        return;
+    if (answer.installed) {
+        peer->transfer.reset();
+        noteMatch(message.from, *peer, answer.index);
+        peer->next = peer->match.next();
+        peer->unanswered = 0;
+    } else if (answer.sentAt == toMicroseconds(peer->transfer->sent)
+               && answer.nextOffset <= peer->transfer->snapshot->state.size()) {
+        peer->transfer->offset = answer.nextOffset;
+        sendPart(message.from, *peer);
+    }
+}
+
+} // namespace kingcuptiller
