--- a/src/control/class_plan.cpp
+++ b/src/control/class_plan.cpp
@@ -33,7 +33,6 @@
         serving += each.released ? 0 : 1;
     }
     std::vector<double> weights(entries.size(), 0.0);
-    const std::uint32_t least = serving > 0 && total >= serving ? 1 : 0;
     for (std::size_t entry = 0; entry < entries.size(); ++entry) {
         if (entries[entry].released)
             continue;
@@ -41,9 +40,13 @@
         weights[entry] =
             demand > 0 ? evenPart * even + (1 - evenPart) * entries[entry].demand / demand : even;
     }
-    counts parts = apportion(total - least * static_cast<std::uint32_t>(serving), weights);
-    for (std::size_t entry = 0; entry < entries.size(); ++entry)
-        parts[entry] += entries[entry].released ? 0 : least;
+    counts parts = apportion(total, weights);
+    for (std::size_t entry = 0; entry < entries.size() && total >= serving; ++entry) {
+        if (parts[entry] > 0 || entries[entry].released)
+            continue;
+        --*std::max_element(parts.begin(), parts.end());
+        parts[entry] = 1;
+    }
     return parts;
 }
 
