Add the decisions of an entry with tests

Change: shift_limiter, admission_limits, link_budget, retry_budget, upstream_health, class_queue, class_meter, the choice policies and the core of entry_dispatcher that joins them; tests/steering. Found by the tests: an estimate that was doubled by each failure grew above all deadlines, so that a class whose upstreams had failed was refused almost entirely (test retriesStayWithinTheirBudgetWhenEverythingFails: no retry was ever sent). Failures now raise an estimate at most fourfold, and the first answer after failures replaces it. Decisions: the shift limiter computes moved(o) exactly at each request instead of keeping credits and tokens; moved(o) only falls between two requests of an interval, so the bound holds without any carry-over between intervals. A request counts as an arrival when it is sent or refused, so a queued one is counted once. A link's budget is half of the link, because answers to the other side's entries travel in the same direction. Region names from clients that are not known count as the entry's own region.

--- /dev/null
+++ b/include/kingcuptiller/steering/shift_limiter.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "kingcuptiller/steering/steering_index.h"
+#include "kingcuptiller/values/configuration.h"
+#include "kingcuptiller/values/time.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace kingcuptiller {
+
+// Requests of one class from clients of one region.
+struct flow_source
+{
+    class_index workClass = 0;
+    region_index origin = 0;
+
+    auto operator<=>(const flow_source &) const = default;
+};
+
+// Requests of one class that went from one region to another in an interval.
+struct counted_flow
+{
+    flow_source source;
+    region_index destination = 0;
+    std::uint64_t forwarded = 0;
+
+    auto operator<=>(const counted_flow &) const = default;
+};
+
+// Keeps the traffic shift of each origin region below its cap (I1). For a source (c,o), n(c,o,d) is
+// the number of requests sent to d in the present interval of 1 s, T(c,o) the number of requests
+// decided on in it, and x(c,o,d) the share of d in the last interval that sent any. Then
+//
+//     moved(o) = sum over c, d of max(0, n(c,o,d) - x(c,o,d) * T(c,o))
+//
+// is at most 20% of the sum of T(c,o) over c, or one request where that is more, so that work which
+// arrives rarely can move too. A request that would raise moved(o) above the part that its rank may
+// use is not allowed. Since T only grows within an interval, moved(o) only falls between two
+// requests, and a bound that holds at each request holds for the whole interval.
+//
+// A request counts in T once, in the interval in which it is sent or refused, and in n once for
+// each region that it is sent to.
+class shift_limiter
+{
+public:
+    static constexpr double capShare = 0.2;
+    static constexpr std::chrono::seconds interval{1};
+
+    // Whether one more request may go to `destination`. `counted` says that the request is already
+    // part of T (a retry or a hedge).
+    [[nodiscard]] bool mayForward(const flow_source &source, region_index destination,
+                                  rank_number rank, bool counted, instant now);
+
+    // Records a request that is sent; `counted` as above.
+    void forward(const flow_source &source, region_index destination, bool counted, instant now);
+
+    // Records a request that is refused.
+    void refuse(const flow_source &source, instant now);
+
+    // Replaces the baseline of each source in `flows` for which nothing was forwarded or refused
+    // here so far. A source without a baseline starts with x(c,o,o) = 1.
+    void setBaseline(const std::vector<counted_flow> &flows);
+
+    // The flows that x is computed from: the last whole interval that sent any.
+    [[nodiscard]] std::vector<counted_flow> flows(instant now);
+
+    // moved(o) and the sum of T of the present interval.
+    [[nodiscard]] double moved(region_index origin) const;
+    [[nodiscard]] std::uint64_t arrivals(region_index origin) const;
+
+private:
+    struct row
+    {
+        std::uint64_t arrivals = 0;
+        // By destination.
+        std::vector<std::uint64_t> sent;
+        std::vector<std::uint64_t> sentBefore;
+        std::uint64_t totalBefore = 0;
+        // True once `sentBefore` holds what this limiter forwarded itself.
+        bool ownBaseline = false;
+        // True once a request was counted here.
+        bool used = false;
+    };
+    struct origin_state
+    {
+        std::int64_t interval = 0;
+        // By class.
+        std::vector<row> rows;
+    };
+
+    origin_state &current(region_index origin, instant now);
+    row &rowOf(origin_state &state, class_index workClass, region_index origin);
+    static double share(const row &of, region_index destination);
+    static double excess(const row &of, region_index destination, double extraArrivals,
+                         double extraSent);
+    static double movedBy(const row &of, double extraArrivals);
+
+    std::vector<origin_state> m_origins;
+};
+
+} // namespace kingcuptiller
--- /dev/null
+++ b/src/steering/class_meter.cpp
@@ -0,0 +1,118 @@
+#include "kingcuptiller/steering/class_meter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace kingcuptiller {
+
+namespace {
+
+constexpr double smallestUs = 16;
+// Buckets for each doubling of the latency.
+constexpr double bucketsPerOctave = 8;
+constexpr std::uint32_t samplesBeforeHalving = 1000;
+
+constexpr double sampleWeight = 0.05;
+// Until the first answer, about the target of the usual classes.
+constexpr microseconds latencyBeforeAnswers{100'000};
+
+} // namespace
+
+void latency_quantile::add(microseconds latency)
+{
+    const double ratio = std::max(1.0, static_cast<double>(latency.count()) / smallestUs);
+    const auto bucket = static_cast<std::size_t>(std::log2(ratio) * bucketsPerOctave);
+    ++m_counts[std::min(bucket, m_counts.size() - 1)];
+    ++m_total;
+    if (++m_sinceHalved < samplesBeforeHalving)
+        return;
+    m_sinceHalved = 0;
+    m_total = 0;
+    for (std::uint32_t &count : m_counts) {
+        count /= 2;
+        m_total += count;
+    }
+}
+
+microseconds latency_quantile::value(double quantile) const
+{
+    if (m_total < leastSamples)
+        return microseconds(0);
+    const double wanted = quantile * m_total;
+    double sum = 0;
+    std::size_t bucket = 0;
+    for (; bucket + 1 < m_counts.size(); ++bucket) {
+        sum += m_counts[bucket];
+        if (sum >= wanted)
+            break;
+    }
+    const double bound = smallestUs * std::exp2(double(bucket + 1) / bucketsPerOctave);
+    return microseconds(static_cast<std::int64_t>(bound));
+}
+
+void class_meter::advance(instant now)
+{
+    if (now <= m_updated)
+        return;
+    const double keep = std::exp(-static_cast<double>((now - m_updated).count()) / timeConstantUs);
+    m_heldAverage = m_heldAverage * keep + static_cast<double>(m_held) * (1 - keep);
+    m_arrivalRate *= keep;
+    m_refusalRate *= keep;
+    m_updated = now;
+}
+
+void class_meter::arrive(instant now)
+{
+    advance(now);
+    m_arrivalRate += 1e6 / timeConstantUs;
+}
+
+void class_meter::hold(instant now)
+{
+    advance(now);
+    ++m_held;
+}
+
+void class_meter::release(instant now)
+{
+    advance(now);
+    m_held -= m_held > 0 ? 1 : 0;
+}
+
+void class_meter::refuse(instant now)
+{
+    advance(now);
+    m_refusalRate += 1e6 / timeConstantUs;
+}
+
+void class_meter::answer(microseconds latency, std::uint64_t bytes)
+{
+    const auto sample = static_cast<double>(latency.count());
+    if (m_latencyUs <= 0) {
+        m_latencyUs = sample;
+        m_answerBytes = static_cast<double>(bytes);
+        return;
+    }
+    m_latencyUs += sampleWeight * (sample - m_latencyUs);
+    m_answerBytes += sampleWeight * (static_cast<double>(bytes) - m_answerBytes);
+}
+
+double class_meter::arrivalsPerSecond(instant now)
+{
+    advance(now);
+    return m_arrivalRate;
+}
+
+double class_meter::concurrency(instant now)
+{
+    advance(now);
+    return m_heldAverage + m_refusalRate * static_cast<double>(latency().count()) / 1e6;
+}
+
+microseconds class_meter::latency() const
+{
+    return m_latencyUs > 0 ? microseconds(static_cast<std::int64_t>(m_latencyUs))
+                           : latencyBeforeAnswers;
+}
+
+} // namespace kingcuptiller
--- /dev/null
+++ b/src/steering/dispatcher_core.cpp
@@ -0,0 +1,420 @@
+#include "dispatcher_core.h"
+
+#include "kingcuptiller/values/error.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace kingcuptiller::internal {
+
+namespace {
+
+// How long a class without any slot share waits for one: a sync and a planning round.
+constexpr microseconds shareWait{500'000};
+
+// While all deadlines of a class look unreachable, one request in this time is sent all the same.
+// Without it, an estimate that was once too high would never be measured again.
+constexpr std::chrono::seconds deadlineProbeInterval{1};
+
+// Queued requests that one call of `takeReady` looks at behind one that cannot be sent. Their
+// origins differ, so a later one may be allowed to go where the first is not.
+constexpr std::size_t blockedLimit = 32;
+
+constexpr double hedgeQuantile = 0.95;
+
+// Says whether the request cannot have run on the upstream.
+bool provesNotRun(attempt_outcome outcome)
+{
+    return outcome == attempt_outcome::shed || outcome == attempt_outcome::connect_refused
+        || outcome == attempt_outcome::not_sent;
+}
+
+} // namespace
+
+dispatcher_core::dispatcher_core(dispatcher_settings settings)
+    : m_settings(std::move(settings))
+    , m_engine(m_settings.seed)
+    , m_admission(m_settings.concurrency)
+    , m_links(m_settings.linkBytesPerSecond)
+{
+    if (!m_settings.policy)
+        m_settings.policy = leastExpectedLatency();
+    m_home = m_regionNames.intern(m_settings.region);
+}
+
+class_index dispatcher_core::internClass(const class_name &name)
+{
+    const class_index index = m_classNames.intern(name);
+    while (m_classes.size() <= index)
+        m_classes.emplace_back(m_settings.queueLimit);
+    return index;
+}
+
+void dispatcher_core::applyConfiguration(const configuration &current)
+{
+    for (class_state &each : m_classes)
+        each.active = false;
+    for (const work_class &each : current.classes) {
+        class_state &to = m_classes[internClass(each.name)];
+        to.settings = each;
+        to.active = true;
+    }
+    std::vector<admission_share> shares;
+    shares.reserve(m_classes.size());
+    for (const class_state &each : m_classes)
+        shares.push_back({each.settings.rank, each.settings.target.worth, each.active});
+    m_admission.setClasses(shares);
+}
+
+void dispatcher_core::applyAssignments(const std::vector<upstream_assignment> &assignments,
+                                       instant now)
+{
+    std::vector<upstream_place> places;
+    places.reserve(assignments.size());
+    for (const upstream_assignment &each : assignments)
+        places.push_back({internClass(each.workClass), m_regionNames.intern(each.region)});
+    for (class_state &each : m_classes)
+        each.limitSum = 0;
+    for (std::size_t index = 0; index < assignments.size(); ++index) {
+        if (!assignments[index].leaving)
+            m_classes[places[index].workClass].limitSum += assignments[index].limit;
+    }
+    m_upstreams.apply(assignments, places, now);
+}
+
+void dispatcher_core::applyLoads(const std::vector<upstream_load> &loads, instant now)
+{
+    m_upstreams.applyLoads(loads, now);
+}
+
+void dispatcher_core::applyFlows(const std::vector<region_flow> &flows)
+{
+    std::vector<counted_flow> counted;
+    counted.reserve(flows.size());
+    for (const region_flow &each : flows) {
+        counted.push_back({{internClass(each.workClass), m_regionNames.intern(each.origin)},
+                           m_regionNames.intern(each.destination),
+                           each.forwarded});
+    }
+    m_shift.setBaseline(counted);
+}
+
+void dispatcher_core::setEntriesInRegion(std::size_t count)
+{
+    m_links.setEntriesInRegion(count, m_latest);
+}
+
+decision dispatcher_core::submit(const request_facts &request, instant now)
+{
+    m_latest = now;
+    const auto index = m_classNames.find(request.workClass);
+    if (!index || !m_classes[*index].active)
+        return refused_decision{result_code::class_unknown};
+    class_state &of = m_classes[*index];
+    ticket_state state;
+    state.ticket = request.ticket;
+    state.workClass = *index;
+    // Region names come from clients. Only known ones get a place, otherwise invented names would
+    // use up memory and evade the shift cap, which counts by origin.
+    state.origin = m_regionNames.find(request.origin).value_or(m_home);
+    state.requestBytes = request.requestBytes;
+    state.deadline = request.deadline;
+    state.idempotent = request.idempotent && of.settings.idempotent;
+    ticket_state *ticket = m_tickets.add(state);
+    if (ticket == nullptr) {
+        throw error(result_code::internal_fault,
+                    "ticket " + std::to_string(request.ticket.number()) + " is in use");
+    }
+    of.meter.arrive(now);
+    of.retries.request();
+    of.hedges.request();
+    return decideFirst(*ticket, now);
+}
+
+decision dispatcher_core::decideFirst(ticket_state &ticket, instant now)
+{
+    class_state &of = m_classes[ticket.workClass];
+    if (ticket.deadline <= now)
+        return refuse(ticket, result_code::deadline_unreachable, now);
+    if (!m_admission.mayTake(ticket.workClass))
+        return refuse(ticket, result_code::class_limit, now);
+    if (of.queue.ahead(ticket.queueItem()) > 0)
+        return enqueue(ticket, now);
+    const route found = findRoute(ticket, now);
+    if (found.target) {
+        if (!deadlineReachable(of, ticket, found.target->expectedLatency, now))
+            return refuse(ticket, result_code::deadline_unreachable, now);
+        return send(ticket, *found.target, now);
+    }
+    return found.busy ? enqueue(ticket, now) : refuse(ticket, found.code, now);
+}
+
+microseconds dispatcher_core::expectedWait(const class_state &of, std::size_t ahead) const
+{
+    if (of.limitSum == 0)
+        return shareWait;
+    return of.meter.latency() * (ahead + 1) / of.limitSum;
+}
+
+decision dispatcher_core::enqueue(ticket_state &ticket, instant now)
+{
+    class_state &of = m_classes[ticket.workClass];
+    if (of.queue.full())
+        return refuse(ticket, result_code::queue_full, now);
+    const microseconds wait = expectedWait(of, of.queue.ahead(ticket.queueItem()));
+    if (now + wait + of.meter.latency() > ticket.deadline) {
+        return refuse(ticket,
+                      of.limitSum == 0 ? result_code::slots_exhausted
+                                       : result_code::deadline_unreachable,
+                      now);
+    }
+    of.queue.insert(ticket.queueItem());
+    ticket.queued = true;
+    of.meter.hold(now);
+    return queued_decision();
+}
+
+bool dispatcher_core::deadlineReachable(class_state &of, const ticket_state &ticket,
+                                        microseconds expected, instant now)
+{
+    if (now + expected <= ticket.deadline)
+        return true;
+    if (of.lastDeadlineProbe && now - *of.lastDeadlineProbe < deadlineProbeInterval)
+        return false;
+    of.lastDeadlineProbe = now;
+    return true;
+}
+
+forward_decision dispatcher_core::send(ticket_state &ticket, const picked_upstream &target,
+                                       instant now)
+{
+    const region_index region = m_upstreams.place(target.upstream).region;
+    if (!ticket.wasSentTo(region)) {
+        m_shift.forward({ticket.workClass, ticket.origin}, region, ticket.attempts > 0, now);
+        ticket.regions.push_back(region);
+    }
+    const double bytes = linkBytes(ticket, region);
+    if (region != m_home)
+        m_links.take(region, bytes, now);
+    m_upstreams.take(target.upstream, now);
+    m_admission.take(ticket.workClass);
+    m_classes[ticket.workClass].meter.hold(now);
+    ++ticket.attempts;
+    ticket.open.push_back({ticket.attempts, target.upstream, bytes});
+    return {m_upstreams.assignment(target.upstream), ticket.attempts};
+}
+
+decision dispatcher_core::refuse(ticket_state &ticket, result_code code, instant now)
+{
+    if (ticket.attempts == 0) {
+        m_shift.refuse({ticket.workClass, ticket.origin}, now);
+        m_classes[ticket.workClass].meter.refuse(now);
+    }
+    m_tickets.erase(ticket.ticket);
+    return refused_decision{code};
+}
+
+void dispatcher_core::finished(const attempt_report &report, instant now)
+{
+    m_latest = now;
+    ticket_state *ticket = m_tickets.find(report.ticket);
+    if (ticket == nullptr)
+        return;
+    const auto attempt =
+        std::find_if(ticket->open.begin(), ticket->open.end(),
+                     [&report](const open_attempt &each) { return each.number == report.attempt; });
+    if (attempt == ticket->open.end())
+        return;
+    class_state &of = m_classes[ticket->workClass];
+    const region_index region = m_upstreams.place(attempt->upstream).region;
+    if (region != m_home) {
+        const std::uint64_t sent =
+            report.outcome == attempt_outcome::not_sent ? 0 : ticket->requestBytes;
+        m_links.correct(region,
+                        static_cast<double>(sent + report.answerBytes) - attempt->linkBytes);
+    }
+    m_upstreams.release(attempt->upstream, report, now);
+    m_admission.release(ticket->workClass);
+    of.meter.release(now);
+    ticket->lastUpstream = attempt->upstream;
+    ticket->open.erase(attempt);
+    ticket->mayHaveRun |= !provesNotRun(report.outcome);
+    if (report.outcome == attempt_outcome::answered) {
+        of.meter.answer(report.latency, report.answerBytes);
+        of.latencies.add(report.latency);
+        ticket->over = true;
+    } else if (!ticket->over && ticket->open.empty()) {
+        m_tickets.expectDecision(*ticket);
+    }
+    m_tickets.eraseIfDone(*ticket);
+}
+
+decision dispatcher_core::retry(ticket_id id, instant now)
+{
+    m_latest = now;
+    ticket_state *ticket = m_tickets.find(id);
+    if (ticket == nullptr || ticket->over || ticket->queued || !ticket->open.empty())
+        return refused_decision{result_code::retry_budget_spent};
+    class_state &of = m_classes[ticket->workClass];
+    if (!ticket->idempotent && ticket->mayHaveRun)
+        return refuse(*ticket, result_code::outcome_unknown, now);
+    if (!of.retries.maySpend())
+        return refuse(*ticket, result_code::retry_budget_spent, now);
+    if (!m_admission.mayTake(ticket->workClass))
+        return refuse(*ticket, result_code::class_limit, now);
+    const route found = findRoute(*ticket, now);
+    if (!found.target)
+        return refuse(*ticket, found.busy ? result_code::slots_exhausted : found.code, now);
+    if (now + found.target->expectedLatency > ticket->deadline)
+        return refuse(*ticket, result_code::deadline_unreachable, now);
+    of.retries.spend();
+    return send(*ticket, *found.target, now);
+}
+
+decision dispatcher_core::hedge(ticket_id id, instant now)
+{
+    m_latest = now;
+    const refused_decision notAllowed{result_code::retry_budget_spent};
+    ticket_state *ticket = m_tickets.find(id);
+    if (ticket == nullptr || ticket->over || !ticket->idempotent || ticket->open.size() != 1)
+        return notAllowed;
+    class_state &of = m_classes[ticket->workClass];
+    if (!of.hedges.maySpend() || !m_admission.mayTake(ticket->workClass))
+        return notAllowed;
+    const route found = findRoute(*ticket, now);
+    if (!found.target || now + found.target->expectedLatency > ticket->deadline)
+        return notAllowed;
+    of.hedges.spend();
+    return send(*ticket, *found.target, now);
+}
+
+microseconds dispatcher_core::hedgeDelay(const class_name &workClass) const
+{
+    const auto index = m_classNames.find(workClass);
+    if (!index || !m_classes[*index].settings.idempotent)
+        return microseconds(0);
+    return m_classes[*index].latencies.value(hedgeQuantile);
+}
+
+void dispatcher_core::abandon(ticket_id id, instant now)
+{
+    m_latest = now;
+    ticket_state *ticket = m_tickets.find(id);
+    if (ticket == nullptr)
+        return;
+    if (ticket->queued) {
+        leaveQueue(*ticket);
+        m_classes[ticket->workClass].meter.release(now);
+        m_shift.refuse({ticket->workClass, ticket->origin}, now);
+    }
+    ticket->over = true;
+    m_tickets.eraseIfDone(*ticket);
+}
+
+void dispatcher_core::leaveQueue(ticket_state &ticket)
+{
+    m_classes[ticket.workClass].queue.remove(ticket.queueItem());
+    ticket.queued = false;
+}
+
+std::vector<ready_ticket> dispatcher_core::takeReady(instant now)
+{
+    m_latest = now;
+    m_tickets.expire(now);
+    std::vector<class_index> order;
+    for (class_index index = 0; index < m_classes.size(); ++index) {
+        if (!m_classes[index].queue.empty())
+            order.push_back(index);
+    }
+    // The most urgent class uses the movement pool, links and concurrency first.
+    std::sort(order.begin(), order.end(), [this](class_index left, class_index right) {
+        return m_classes[left].settings.rank.number() < m_classes[right].settings.rank.number();
+    });
+    std::vector<ready_ticket> ready;
+    for (const class_index index : order)
+        drainQueue(index, now, ready);
+    return ready;
+}
+
+std::optional<result_code>
+dispatcher_core::queueRefusal(const class_state &of, const ticket_state &ticket, instant now) const
+{
+    if (!of.active)
+        return result_code::class_unknown;
+    if (now + of.meter.latency() <= ticket.deadline)
+        return std::nullopt;
+    return of.limitSum == 0 ? result_code::slots_exhausted : result_code::deadline_unreachable;
+}
+
+void dispatcher_core::drainQueue(class_index workClass, instant now,
+                                 std::vector<ready_ticket> &ready)
+{
+    class_state &of = m_classes[workClass];
+    std::size_t position = 0;
+    while (position < of.queue.size() && position < blockedLimit) {
+        ticket_state &ticket = *m_tickets.find(of.queue.items()[position].ticket);
+        const ticket_id id = ticket.ticket;
+        std::optional<result_code> refusal = queueRefusal(of, ticket, now);
+        route found;
+        if (!refusal) {
+            const bool anyFree = m_upstreams.hasFree(workClass) || of.limitSum == 0;
+            if (!anyFree || !m_admission.mayTake(workClass))
+                return;
+            found = findRoute(ticket, now);
+            if (!found.target && found.busy) {
+                ++position;
+                continue;
+            }
+            if (!found.target)
+                refusal = found.code;
+        }
+        leaveQueue(ticket);
+        of.meter.release(now);
+        if (refusal)
+            ready.push_back({id, refuse(ticket, *refusal, now)});
+        else
+            ready.push_back({id, send(ticket, *found.target, now)});
+    }
+}
+
+std::vector<class_demand> dispatcher_core::demand(instant now)
+{
+    std::vector<class_demand> result;
+    for (class_index index = 0; index < m_classes.size(); ++index) {
+        class_state &of = m_classes[index];
+        if (of.active) {
+            result.push_back({m_classNames.name(index), of.meter.concurrency(now),
+                              of.meter.arrivalsPerSecond(now)});
+        }
+    }
+    std::sort(result.begin(), result.end(), [](const auto &left, const auto &right) {
+        return left.workClass.text() < right.workClass.text();
+    });
+    return result;
+}
+
+std::vector<region_flow> dispatcher_core::flows(instant now)
+{
+    std::vector<region_flow> result;
+    for (const counted_flow &each : m_shift.flows(now)) {
+        result.push_back({m_classNames.name(each.source.workClass),
+                          m_regionNames.name(each.source.origin),
+                          m_regionNames.name(each.destination), each.forwarded});
+    }
+    std::sort(result.begin(), result.end(), [](const auto &left, const auto &right) {
+        return std::tie(left.workClass.text(), left.origin.text(), left.destination.text())
+            < std::tie(right.workClass.text(), right.origin.text(), right.destination.text());
+    });
+    return result;
+}
+
+std::size_t dispatcher_core::queued() const
+{
+    std::size_t sum = 0;
+    for (const class_state &each : m_classes)
+        sum += each.queue.size();
+    return sum;
+}
+
+} // namespace kingcuptiller::internal
--- /dev/null
+++ b/src/steering/dispatcher_core.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "kingcuptiller/steering/admission_limits.h"
+#include "kingcuptiller/steering/class_meter.h"
+#include "kingcuptiller/steering/class_queue.h"
+#include "kingcuptiller/steering/entry_dispatcher.h"
+#include "kingcuptiller/steering/link_budget.h"
+#include "kingcuptiller/steering/retry_budget.h"
+#include "kingcuptiller/steering/shift_limiter.h"
+#include "name_table.h"
+#include "ticket_table.h"
+#include "upstream_table.h"
+
+#include <optional>
+#include <vector>
+
+namespace kingcuptiller::internal {
+
+// A class of work with what the entry knows about it.
+struct class_state
+{
+    explicit class_state(std::size_t queueLimit)
+        : queue(queueLimit)
+    {
+    }
+
+    work_class settings;
+    // False once the class is gone from the configuration, or before it is first configured.
+    bool active = false;
+    class_queue queue;
+    retry_budget retries{retryShare};
+    retry_budget hedges{hedgeShare};
+    class_meter meter;
+    latency_quantile latencies;
+    std::uint64_t limitSum = 0;
+    // When a request was last sent although its deadline looked unreachable.
+    std::optional<instant> lastDeadlineProbe;
+};
+
+// Where a request may go now. Without `target`, `busy` says that a slot may become free later;
+// otherwise `code` is the reason of the refusal.
+struct route
+{
+    std::optional<picked_upstream> target;
+    bool busy = false;
+    result_code code = result_code::no_upstream;
+};
+
+// The implementation of entry_dispatcher; see there for the meaning of the functions.
+class dispatcher_core
+{
+public:
+    explicit dispatcher_core(dispatcher_settings settings);
+
+    void applyConfiguration(const configuration &current);
+    void applyAssignments(const std::vector<upstream_assignment> &assignments, instant now);
+    void applyLoads(const std::vector<upstream_load> &loads, instant now);
+    void applyFlows(const std::vector<region_flow> &flows);
+    void setEntriesInRegion(std::size_t count);
+
+    decision submit(const request_facts &request, instant now);
+    void finished(const attempt_report &report, instant now);
+    decision retry(ticket_id ticket, instant now);
+    decision hedge(ticket_id ticket, instant now);
+    [[nodiscard]] microseconds hedgeDelay(const class_name &workClass) const;
+    void abandon(ticket_id ticket, instant now);
+    std::vector<ready_ticket> takeReady(instant now);
+
+    [[nodiscard]] std::vector<upstream_usage> usage() const { return m_upstreams.usage(); }
+    std::vector<class_demand> demand(instant now);
+    std::vector<region_flow> flows(instant now);
+    [[nodiscard]] std::size_t queued() const;
+
+private:
+    class_index internClass(const class_name &name);
+
+    // Routing: which upstream, over all regions (dispatcher_routing.cpp).
+    route findRoute(const ticket_state &ticket, instant now);
+    std::optional<picked_upstream> tryRegion(const ticket_state &ticket, region_index region,
+                                             instant now, route &result);
+    // Expected latency of the best way to serve the request later in the home region, when the
+    // home region is only busy.
+    [[nodiscard]] microseconds homeEstimate(const ticket_state &ticket) const;
+    [[nodiscard]] double linkBytes(const ticket_state &ticket, region_index region) const;
+
+    decision decideFirst(ticket_state &ticket, instant now);
+    decision enqueue(ticket_state &ticket, instant now);
+    bool deadlineReachable(class_state &of, const ticket_state &ticket, microseconds expected,
+                           instant now);
+    [[nodiscard]] microseconds expectedWait(const class_state &of, std::size_t ahead) const;
+    forward_decision send(ticket_state &ticket, const picked_upstream &target, instant now);
+    decision refuse(ticket_state &ticket, result_code code, instant now);
+    // Why a queued request must be refused now, if it must.
+    [[nodiscard]] std::optional<result_code>
+    queueRefusal(const class_state &of, const ticket_state &ticket, instant now) const;
+    // Serves the queue of one class.
+    void drainQueue(class_index workClass, instant now, std::vector<ready_ticket> &ready);
+    void leaveQueue(ticket_state &ticket);
+
+    dispatcher_settings m_settings;
+    random_engine m_engine;
+    name_table<class_name> m_classNames;
+    name_table<region_name> m_regionNames;
+    region_index m_home = 0;
+    std::vector<class_state> m_classes;
+    upstream_table m_upstreams;
+    ticket_table m_tickets;
+    admission_limits m_admission;
+    shift_limiter m_shift;
+    link_budget m_links;
+    instant m_latest;
+};
+
+} // namespace kingcuptiller::internal
--- /dev/null
+++ b/src/steering/dispatcher_routing.cpp
@@ -0,0 +1,111 @@
+#include "dispatcher_core.h"
+
+#include <algorithm>
+
+namespace kingcuptiller::internal {
+
+namespace {
+
+// The home region is preferred: another region must promise an answer in less than this share of
+// the home region's time. Moving for less would use up the movement pool for nothing.
+constexpr double homePreference = 0.8;
+
+// Added to the class's usual latency for a region that was never used. Between the delays of the
+// present users' regions (40 and 110 ms there and back).
+constexpr microseconds unknownRegionDelay{60'000};
+
+microseconds scaled(microseconds value, double factor)
+{
+    return microseconds(static_cast<std::int64_t>(static_cast<double>(value.count()) * factor));
+}
+
+} // namespace
+
+double dispatcher_core::linkBytes(const ticket_state &ticket, region_index region) const
+{
+    if (region == m_home)
+        return 0;
+    return static_cast<double>(ticket.requestBytes)
+        + m_classes[ticket.workClass].meter.answerBytes();
+}
+
+std::optional<picked_upstream> dispatcher_core::tryRegion(const ticket_state &ticket,
+                                                          region_index region, instant now,
+                                                          route &result)
+{
+    const upstream_place place{ticket.workClass, region};
+    if (m_upstreams.listedUpstreams(place) == 0)
+        return std::nullopt;
+    const class_state &of = m_classes[ticket.workClass];
+    const rank_number rank = of.settings.rank;
+    if (!ticket.wasSentTo(region)
+        && !m_shift.mayForward({ticket.workClass, ticket.origin}, region, rank, ticket.attempts > 0,
+                               now)) {
+        if (result.code == result_code::no_upstream)
+            result.code = result_code::shift_cap;
+        return std::nullopt;
+    }
+    if (region != m_home && !m_links.mayTake(region, linkBytes(ticket, region), rank, now)) {
+        result.code = result_code::link_full;
+        return std::nullopt;
+    }
+    pick_request request;
+    request.excluded = ticket.open.empty() ? ticket.lastUpstream : ticket.open.front().upstream;
+    const microseconds unknown =
+        of.meter.latency() + (region == m_home ? microseconds(0) : unknownRegionDelay);
+    request.prior = m_upstreams.groupLatency(place, unknown);
+    request.idempotent = ticket.idempotent;
+    const auto picked = m_upstreams.pick(place, request, m_settings.policy, m_engine, now);
+    if (!picked)
+        result.busy = true;
+    return picked;
+}
+
+microseconds dispatcher_core::homeEstimate(const ticket_state &ticket) const
+{
+    const class_state &of = m_classes[ticket.workClass];
+    const upstream_place home{ticket.workClass, m_home};
+    const std::uint32_t slots = m_upstreams.slots(home);
+    if (slots == 0)
+        return microseconds::max();
+    const microseconds latency = m_upstreams.groupLatency(home, of.meter.latency());
+    const std::size_t ahead = of.queue.ahead(ticket.queueItem());
+    return latency + latency * (ahead + 1) / slots;
+}
+
+route dispatcher_core::findRoute(const ticket_state &ticket, instant now)
+{
+    route result;
+    const class_state &of = m_classes[ticket.workClass];
+    const auto home = tryRegion(ticket, m_home, now, result);
+    microseconds best = microseconds::max();
+    if (home) {
+        best = scaled(home->expectedLatency, homePreference);
+        result.target = home;
+    } else if (result.busy) {
+        best = homeEstimate(ticket);
+    }
+    // Other regions in ascending order of their usual latency; the first that takes the request is
+    // used, and those that are slower than the home region are not looked at.
+    std::vector<std::pair<microseconds, region_index>> others;
+    for (region_index region = 0; region < m_upstreams.regions(ticket.workClass); ++region) {
+        const upstream_place place{ticket.workClass, region};
+        if (region == m_home || m_upstreams.listedUpstreams(place) == 0)
+            continue;
+        const microseconds usual =
+            m_upstreams.groupLatency(place, of.meter.latency() + unknownRegionDelay);
+        if (usual < best)
+            others.emplace_back(usual, region);
+    }
+    std::sort(others.begin(), others.end());
+    for (const auto &[usual, region] : others) {
+        const auto picked = tryRegion(ticket, region, now, result);
+        if (picked && picked->expectedLatency < best) {
+            result.target = picked;
+            break;
+        }
+    }
+    return result;
+}
+
+} // namespace kingcuptiller::internal
--- /dev/null
+++ b/src/steering/upstream_health.cpp
@@ -0,0 +1,137 @@
+#include "kingcuptiller/steering/upstream_health.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace kingcuptiller {
+
+namespace {
+
+constexpr microseconds warmUp = std::chrono::seconds(10);
+
+// Weight of a new sample. Ten samples replace most of an estimate, which follows a change of speed
+// within a second at the usual rates and still averages over the spread of single requests.
+constexpr double sampleWeight = 0.15;
+
+// How much a full use of the entry's own limit, or a full reported load, adds to the estimate.
+constexpr double ownUseWeight = 0.3;
+constexpr double reportWeight = 0.5;
+// Reports next to fresh own observations. Small, so that a report that is wrong by a factor of 5
+// only decides between upstreams that are about equally fast.
+constexpr double reportWeightBesideObservation = 0.05;
+
+// Sheds and failures in a row each add the latency once more, up to this number. Bounded, because
+// an estimate above all deadlines would keep the upstream from being tried again.
+constexpr std::uint32_t mostCountedUnanswered = 3;
+
+double microsecondsSince(instant then, instant now)
+{
+    return static_cast<double>((now - then).count());
+}
+
+} // namespace
+
+std::uint32_t warmLimit(std::uint32_t limit, microseconds age)
+{
+    if (limit == 0 || age >= warmUp)
+        return limit;
+    const double share =
+        static_cast<double>(std::max<std::int64_t>(age.count(), 0)) / double(warmUp.count());
+    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(share * limit));
+}
+
+void upstream_health::learn(double sampleUs, instant now)
+{
+    // After failures, the first answer counts alone: what was measured before belongs to an
+    // upstream that was in trouble.
+    const bool startAgain = !m_lastObservation || m_unanswered > 0;
+    m_latencyUs = startAgain ? sampleUs : m_latencyUs + sampleWeight * (sampleUs - m_latencyUs);
+    m_lastObservation = now;
+}
+
+void upstream_health::observe(attempt_outcome outcome, microseconds latency, instant now)
+{
+    const auto sample = static_cast<double>(latency.count());
+    switch (outcome) {
+    case attempt_outcome::answered:
+        learn(sample, now);
+        m_unanswered = 0;
+        m_failures = 0;
+        m_ejections = 0;
+        return;
+    case attempt_outcome::shed:
+        ++m_unanswered;
+        return;
+    case attempt_outcome::timeout:
+    case attempt_outcome::cancelled:
+        // The answer would have taken at least this long. One slow request is no reason to avoid
+        // the upstream, so this counts like any sample.
+        m_latencyUs += sampleWeight * std::max(0.0, sample - m_latencyUs);
+        if (outcome == attempt_outcome::cancelled)
+            return;
+        ++m_unanswered;
+        ++m_failures;
+        return;
+    case attempt_outcome::connect_refused:
+    case attempt_outcome::failed:
+        ++m_unanswered;
+        ++m_failures;
+        return;
+    case attempt_outcome::not_sent:
+        return;
+    }
+}
+
+void upstream_health::report(double load, microseconds age, instant now)
+{
+    const instant measured = now - age;
+    if (m_reported && measured < *m_reported)
+        return;
+    // A value that is no number says nothing, and nothing is never read as idle.
+    m_load = std::isnan(load) ? 1 : std::clamp(load, 0.0, 1.0);
+    m_reported = measured;
+}
+
+double upstream_health::reportedLoad(instant now) const
+{
+    if (!m_reported)
+        return 1;
+    const double stale = microsecondsSince(*m_reported, now) - double(microseconds(hold).count());
+    const double widened = std::clamp(stale / double(microseconds(hold).count()), 0.0, 1.0);
+    return m_load + (1 - m_load) * widened;
+}
+
+double upstream_health::stalenessFactor(instant now) const
+{
+    if (!m_lastObservation)
+        return 1;
+    const double stale =
+        microsecondsSince(*m_lastObservation, now) - double(microseconds(hold).count());
+    return 1 + std::clamp(stale / double(microseconds(longestEjection).count()), 0.0, 1.0);
+}
+
+microseconds upstream_health::expectedLatency(microseconds prior, std::uint32_t inFlight,
+                                              std::uint32_t limit, instant now) const
+{
+    const bool observed = m_lastObservation && now - *m_lastObservation <= microseconds(hold);
+    const double known =
+        m_lastObservation ? m_latencyUs : std::max(m_latencyUs, double(prior.count()));
+    // Quick refusals and failures must not make an upstream look fast.
+    const double base = known * (1 + std::min(m_unanswered, mostCountedUnanswered));
+    const double use = limit == 0 ? 1 : std::min(1.0, double(inFlight) / limit);
+    const double load =
+        (observed ? reportWeightBesideObservation : reportWeight) * reportedLoad(now);
+    const double estimate = base * stalenessFactor(now) * (1 + ownUseWeight * use + load);
+    return microseconds(static_cast<std::int64_t>(estimate));
+}
+
+void upstream_health::eject(instant now)
+{
+    const auto longest = microseconds(longestEjection);
+    const auto length = microseconds(firstEjection) * (1 << std::min(m_ejections, 4U));
+    m_ejectedUntil = now + std::min(length, longest);
+    ++m_ejections;
+    m_failures = failuresToEject - 1;
+}
+
+} // namespace kingcuptiller
--- /dev/null
+++ b/tests/steering/shift_limiter_test.cpp
@@ -0,0 +1,262 @@
+#include "kingcuptiller/steering/shift_limiter.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <map>
+
+using namespace kingcuptiller;
+
+namespace {
+
+constexpr region_index regionCount = 3;
+constexpr class_index classCount = 3;
+
+instant atMilliseconds(std::int64_t value)
+{
+    return instant(milliseconds(value));
+}
+
+using source_key = std::pair<class_index, region_index>;
+
+source_key keyOf(const flow_source &source)
+{
+    return {source.workClass, source.origin};
+}
+
+// Computes moved(o) from what was sent, by the definition and apart from the limiter.
+class shift_observer
+{
+public:
+    void baseline(const counted_flow &flow)
+    {
+        m_before[keyOf(flow.source)][flow.destination] += double(flow.forwarded);
+    }
+    void arrive(const flow_source &source) { m_arrivals[keyOf(source)] += 1; }
+    void send(const flow_source &source, region_index destination)
+    {
+        m_sent[keyOf(source)][destination] += 1;
+    }
+    [[nodiscard]] double moved(region_index origin) const
+    {
+        double sum = 0;
+        for (const auto &[source, sent] : m_sent) {
+            for (const auto &[destination, count] : sent) {
+                const double expected = share(source, destination) * count0(m_arrivals, source);
+                sum += source.second == origin ? std::max(0.0, count - expected) : 0;
+            }
+        }
+        return sum;
+    }
+    [[nodiscard]] double cap(region_index origin) const
+    {
+        double sum = 0;
+        for (const auto &[source, count] : m_arrivals)
+            sum += source.second == origin ? count : 0;
+        return std::max(1.0, 0.2 * sum);
+    }
+    void endInterval()
+    {
+        for (const auto &[source, sent] : m_sent)
+            m_before[source] = sent;
+        m_sent.clear();
+        m_arrivals.clear();
+    }
+
+private:
+    template <typename Key>
+    static double count0(const std::map<Key, double> &counts, const Key &key)
+    {
+        const auto found = counts.find(key);
+        return found == counts.end() ? 0 : found->second;
+    }
+    [[nodiscard]] double share(const source_key &source, region_index destination) const
+    {
+        const auto found = m_before.find(source);
+        if (found == m_before.end())
+            return source.second == destination ? 1 : 0;
+        double total = 0;
+        for (const auto &[each, count] : found->second)
+            total += count;
+        return count0(found->second, destination) / total;
+    }
+
+    std::map<source_key, double> m_arrivals;
+    std::map<source_key, std::map<region_index, double>> m_sent;
+    std::map<source_key, std::map<region_index, double>> m_before;
+};
+
+// One entry: a limiter, the observer of what it lets through, and its random stream of requests.
+struct limited_entry
+{
+    shift_limiter limiter;
+    shift_observer observer;
+
+    // A request that tries `wanted` first and then the regions after it.
+    bool request(const flow_source &source, region_index wanted, region_index dead, instant now)
+    {
+        const rank_number rank(source.workClass + 1);
+        observer.arrive(source);
+        for (region_index step = 0; step < regionCount; ++step) {
+            const region_index destination = (wanted + step) % regionCount;
+            if (destination == dead || !limiter.mayForward(source, destination, rank, false, now))
+                continue;
+            limiter.forward(source, destination, false, now);
+            observer.send(source, destination);
+            return true;
+        }
+        limiter.refuse(source, now);
+        return false;
+    }
+};
+
+} // namespace
+
+class shift_limiter_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(shift_limiter_test);
+    CPPUNIT_TEST(movedRequestsStayBelowTheCapInEveryInterval);
+    CPPUNIT_TEST(restartedEntryKeepsTheCapOfItsBaseline);
+    CPPUNIT_TEST(sumOverEntriesStaysBelowTheCap);
+    CPPUNIT_TEST(urgentRankFindsRoomThatLessUrgentRanksLeave);
+    CPPUNIT_TEST(deadRegionIsLeftWithinSeconds);
+    CPPUNIT_TEST(rareWorkCanMove);
+    CPPUNIT_TEST(furtherAttemptsCountAsMovedWithoutArriving);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a shift above the cap when preferences change at any time, several classes
+    // move at once, rates jump between intervals, and a region dies.
+    void movedRequestsStayBelowTheCapInEveryInterval()
+    {
+        CPPUNIT_ASSERT(rc::check("cap", [] {
+            limited_entry entry;
+            runIntervals({&entry}, 8);
+        }));
+    }
+
+    // Guards against a restart that forgets where requests went and moves all of them at once.
+    void restartedEntryKeepsTheCapOfItsBaseline()
+    {
+        CPPUNIT_ASSERT(rc::check("restart", [] {
+            limited_entry entry;
+            std::vector<counted_flow> flows;
+            for (class_index each = 0; each < classCount; ++each) {
+                flows.push_back({{each, 0},
+                                 *rc::gen::inRange<region_index>(0, regionCount),
+                                 *rc::gen::inRange<std::uint64_t>(1, 500)});
+                entry.observer.baseline(flows.back());
+            }
+            entry.limiter.setBaseline(flows);
+            // A second answer with the same flows must not add to the first.
+            entry.limiter.setBaseline(flows);
+            runIntervals({&entry}, 4);
+        }));
+    }
+
+    // Guards against entries that are each below their cap and together above it.
+    void sumOverEntriesStaysBelowTheCap()
+    {
+        CPPUNIT_ASSERT(rc::check("sum", [] {
+            limited_entry first;
+            limited_entry second;
+            limited_entry third;
+            runIntervals({&first, &second, &third}, 4);
+        }));
+    }
+
+    // Guards against less urgent work that uses up the movement pool before urgent work comes.
+    void urgentRankFindsRoomThatLessUrgentRanksLeave()
+    {
+        shift_limiter limiter;
+        const auto moveAll = [&limiter](class_index workClass) {
+            const flow_source source{workClass, 0};
+            int moved = 0;
+            const rank_number rank(workClass + 1);
+            for (; limiter.mayForward(source, 1, rank, true, atMilliseconds(0)); ++moved)
+                limiter.forward(source, 1, true, atMilliseconds(0));
+            return moved;
+        };
+        for (int count = 0; count < 300; ++count)
+            limiter.refuse({2, 0}, atMilliseconds(0));
+        CPPUNIT_ASSERT_EQUAL(20, moveAll(2));
+        CPPUNIT_ASSERT_EQUAL(20, moveAll(1));
+        CPPUNIT_ASSERT_EQUAL(20, moveAll(0));
+    }
+
+    // Guards against work that stays with a region that is gone.
+    void deadRegionIsLeftWithinSeconds()
+    {
+        limited_entry entry;
+        int served = 0;
+        for (int count = 0; count < 3000; ++count) {
+            const instant now = atMilliseconds(count);
+            const bool dead = count >= 1000;
+            served += entry.request({0, 0}, 0, dead ? 0 : regionCount, now) && count >= 2000;
+            if (count % 1000 == 999)
+                entry.observer.endInterval();
+        }
+        CPPUNIT_ASSERT_EQUAL(1000, served);
+    }
+
+    // Guards against a class with less than five requests in an interval that can never move.
+    void rareWorkCanMove()
+    {
+        for (class_index workClass = 0; workClass < classCount; ++workClass) {
+            shift_limiter limiter;
+            CPPUNIT_ASSERT(limiter.mayForward({workClass, 0}, 1, rank_number(workClass + 1), false,
+                                              atMilliseconds(0)));
+        }
+    }
+
+    // Guards against retries in other regions that are not counted as movement.
+    void furtherAttemptsCountAsMovedWithoutArriving()
+    {
+        shift_limiter limiter;
+        const flow_source source{0, 0};
+        limiter.forward(source, 0, false, atMilliseconds(0));
+        CPPUNIT_ASSERT(limiter.mayForward(source, 1, rank_number(1), true, atMilliseconds(0)));
+        limiter.forward(source, 1, true, atMilliseconds(0));
+        CPPUNIT_ASSERT(!limiter.mayForward(source, 1, rank_number(1), true, atMilliseconds(0)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), limiter.arrivals(0));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, limiter.moved(0), 1e-9);
+    }
+
+private:
+    static void runIntervals(const std::vector<limited_entry *> &entries, int intervals)
+    {
+        for (int interval = 0; interval < intervals; ++interval) {
+            const auto wanted = *rc::gen::container<std::vector<region_index>>(
+                classCount, rc::gen::inRange<region_index>(0, regionCount));
+            const auto dead = *rc::gen::inRange<region_index>(0, 2 * regionCount);
+            for (limited_entry *entry : entries) {
+                const int requests = *rc::gen::element(0, 1, 7, 40, 200);
+                for (int count = 0; count < requests; ++count) {
+                    const flow_source source{*rc::gen::inRange<class_index>(0, classCount),
+                                             *rc::gen::inRange<region_index>(0, 2)};
+                    entry->request(source, wanted[source.workClass], dead,
+                                   atMilliseconds(interval * 1000 + count));
+                }
+            }
+            checkInterval(entries);
+        }
+    }
+
+    static void checkInterval(const std::vector<limited_entry *> &entries)
+    {
+        for (region_index origin = 0; origin < 2; ++origin) {
+            double moved = 0;
+            double cap = 0;
+            for (limited_entry *entry : entries) {
+                RC_ASSERT(entry->observer.moved(origin) <= entry->observer.cap(origin) + 1e-3);
+                moved += entry->observer.moved(origin);
+                cap += entry->observer.cap(origin);
+            }
+            RC_ASSERT(moved <= cap + 1e-3);
+        }
+        for (limited_entry *entry : entries)
+            entry->observer.endInterval();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(shift_limiter_test);
--- /dev/null
+++ b/tests/steering/upstream_health_test.cpp
@@ -0,0 +1,155 @@
+#include "kingcuptiller/steering/upstream_health.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <limits>
+#include <string>
+
+using namespace kingcuptiller;
+
+namespace {
+
+instant atMilliseconds(std::int64_t value)
+{
+    return instant(milliseconds(value));
+}
+
+microseconds estimate(const upstream_health &health, instant now)
+{
+    return health.expectedLatency(microseconds(50'000), 0, 4, now);
+}
+
+void answerTimes(upstream_health &health, int count, microseconds latency, std::int64_t &time)
+{
+    for (int step = 0; step < count; ++step)
+        health.observe(attempt_outcome::answered, latency, atMilliseconds(time += 10));
+}
+
+} // namespace
+
+class upstream_health_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(upstream_health_test);
+    CPPUNIT_TEST(silenceNeverMakesAnUpstreamLookBetter);
+    CPPUNIT_TEST(ownObservationsOutweighWrongReports);
+    CPPUNIT_TEST(reportsThatAreNoShareAreNotReadAsIdle);
+    CPPUNIT_TEST(quickRefusalsDoNotLookFast);
+    CPPUNIT_TEST(ejectionGrowsFromFiveToSixtySeconds);
+    CPPUNIT_TEST(answerEndsTheBackoff);
+    CPPUNIT_TEST(coldUpstreamGetsAGrowingShare);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against an upstream that stops answering or reporting and is taken for an idle one.
+    void silenceNeverMakesAnUpstreamLookBetter()
+    {
+        CPPUNIT_ASSERT(rc::check("silence", [] {
+            upstream_health health;
+            std::int64_t time = 0;
+            answerTimes(health, *rc::gen::inRange(0, 5),
+                        microseconds(*rc::gen::inRange(1000, 200'000)), time);
+            if (*rc::gen::arbitrary<bool>())
+                health.report(*rc::gen::inRange(0, 11) / 10.0, microseconds(0),
+                              atMilliseconds(time));
+            microseconds before = estimate(health, atMilliseconds(time));
+            double load = health.reportedLoad(atMilliseconds(time));
+            for (int step = 0; step < 20; ++step) {
+                time += *rc::gen::inRange(1, 10'000);
+                const microseconds after = estimate(health, atMilliseconds(time));
+                RC_ASSERT(after >= before);
+                RC_ASSERT(health.reportedLoad(atMilliseconds(time)) >= load);
+                before = after;
+                load = health.reportedLoad(atMilliseconds(time));
+            }
+        }));
+    }
+
+    // Guards against load reports, wrong by a factor of 5, that send work to the slower upstream.
+    void ownObservationsOutweighWrongReports()
+    {
+        upstream_health fast;
+        upstream_health slow;
+        std::int64_t time = 0;
+        answerTimes(fast, 20, microseconds(20'000), time);
+        answerTimes(slow, 20, microseconds(30'000), time);
+        fast.report(1.0, microseconds(0), atMilliseconds(time));
+        slow.report(0.2, microseconds(0), atMilliseconds(time));
+        CPPUNIT_ASSERT(estimate(fast, atMilliseconds(time)) < estimate(slow, atMilliseconds(time)));
+    }
+
+    // Guards against a malformed report that makes an upstream attractive.
+    void reportsThatAreNoShareAreNotReadAsIdle()
+    {
+        upstream_health health;
+        CPPUNIT_ASSERT_EQUAL(1.0, health.reportedLoad(atMilliseconds(0)));
+        health.report(std::numeric_limits<double>::quiet_NaN(), microseconds(0), atMilliseconds(1));
+        CPPUNIT_ASSERT_EQUAL(1.0, health.reportedLoad(atMilliseconds(1)));
+        health.report(7, microseconds(0), atMilliseconds(2));
+        CPPUNIT_ASSERT_EQUAL(1.0, health.reportedLoad(atMilliseconds(2)));
+    }
+
+    // Guards against an upstream that sheds or fails at once and attracts work by being quick.
+    void quickRefusalsDoNotLookFast()
+    {
+        for (const attempt_outcome outcome :
+             {attempt_outcome::shed, attempt_outcome::connect_refused, attempt_outcome::failed,
+              attempt_outcome::timeout, attempt_outcome::cancelled, attempt_outcome::not_sent}) {
+            upstream_health health;
+            std::int64_t time = 0;
+            answerTimes(health, 5, microseconds(20'000), time);
+            const microseconds before = estimate(health, atMilliseconds(time));
+            health.observe(outcome, microseconds(10), atMilliseconds(time));
+            CPPUNIT_ASSERT_MESSAGE("outcome " + std::to_string(static_cast<int>(outcome)),
+                                   estimate(health, atMilliseconds(time)) >= before);
+        }
+    }
+
+    // Guards against a failing upstream that is tried again and again, or never again.
+    void ejectionGrowsFromFiveToSixtySeconds()
+    {
+        upstream_health health;
+        std::int64_t time = 0;
+        for (int failure = 0; failure < 2; ++failure)
+            health.observe(attempt_outcome::failed, microseconds(1), atMilliseconds(time));
+        CPPUNIT_ASSERT(!health.shouldEject());
+        for (const std::int64_t seconds : {5, 10, 20, 40, 60, 60}) {
+            health.observe(attempt_outcome::failed, microseconds(1), atMilliseconds(time));
+            CPPUNIT_ASSERT(health.shouldEject());
+            health.eject(atMilliseconds(time));
+            const std::string row = std::to_string(seconds) + " s";
+            time += seconds * 1000;
+            CPPUNIT_ASSERT_MESSAGE(row, health.ejected(atMilliseconds(time - 1)));
+            CPPUNIT_ASSERT_MESSAGE(row, !health.ejected(atMilliseconds(time)));
+        }
+    }
+
+    // Guards against an upstream that has recovered and keeps its former backoff.
+    void answerEndsTheBackoff()
+    {
+        upstream_health health;
+        health.eject(atMilliseconds(0));
+        health.eject(atMilliseconds(0));
+        health.observe(attempt_outcome::answered, microseconds(1), atMilliseconds(20'000));
+        CPPUNIT_ASSERT(!health.shouldEject());
+        health.eject(atMilliseconds(20'000));
+        CPPUNIT_ASSERT(!health.ejected(atMilliseconds(25'000)));
+    }
+
+    // Guards against a cold upstream that gets a full load, or none and so never warms up.
+    void coldUpstreamGetsAGrowingShare()
+    {
+        struct row
+        {
+            std::uint32_t limit;
+            std::int64_t ageMs;
+            std::uint32_t expected;
+        };
+        for (const row &each : {row{9, 0, 1}, row{9, 5000, 4}, row{9, 9999, 8}, row{9, 10'000, 9},
+                                row{1, 0, 1}, row{0, 0, 0}, row{9, -5, 1}})
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(each.ageMs) + " ms", each.expected,
+                                         warmLimit(each.limit, milliseconds(each.ageMs)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(upstream_health_test);
