--- a/tests/consensus/fake_fleet.cpp
+++ b/tests/consensus/fake_fleet.cpp
@@ -20,8 +20,9 @@
 
 } // namespace
 
-fake_fleet::fake_fleet(std::size_t hosts, std::uint64_t seed, bool founding)
-    : m_random(seed)
+fake_fleet::fake_fleet(std::size_t hosts, std::uint64_t seed, replica_settings sizes)
+    : m_settings(std::move(sizes))
+    , m_random(seed)
     , m_hosts(hosts)
 {
     for (std::size_t position = 0; position < hosts; ++position) {
@@ -29,10 +30,10 @@
         host.id = host_id("control-" + std::to_string(position));
         host.clockStart = static_cast<std::int64_t>(m_random() % 1'000'000'000);
         host.clockSpeed = 0.96 + 0.08 * static_cast<double>(m_random() % 1000) / 1000;
-        settings.hosts.push_back(host.id);
+        m_settings.hosts.push_back(host.id);
     }
     for (std::size_t position = 0; position < hosts; ++position)
-        start(position, founding);
+        start(position, true);
 }
 
 instant fake_fleet::clock(const fake_host &host) const
@@ -60,7 +61,7 @@
     };
     hooks.restoreSnapshot = [this, &host](const std::string &text) { restore(host, text); };
     hooks.random = [this] { return m_random(); };
-    host.node = std::make_unique<replica>(settings, hooks, *host.store, clock(host));
+    host.node = std::make_unique<replica>(m_settings, hooks, *host.store, clock(host));
 }
 
 void fake_fleet::kill(std::size_t position)
@@ -114,15 +115,17 @@
 {
     heal();
     setNoise(false);
-    for (std::size_t position = 0; position < m_hosts.size(); ++position) {
-        m_hosts[position].frozenUntil = milliseconds(0);
-        if (!m_hosts[position].node)
-            start(position);
-    }
+    for (fake_host &host : m_hosts)
+        host.frozenUntil = milliseconds(0);
     const milliseconds end = m_elapsed + settleLimit;
     while (!settled()) {
         if (m_elapsed > end)
             broken("the fleet recovers when all faults have ended");
+        // A host whose disk refuses to write only stops at its next write.
+        for (std::size_t position = 0; position < m_hosts.size(); ++position) {
+            if (!m_hosts[position].node)
+                start(position);
+        }
         step();
     }
     setNoise(true);
--- a/tests/consensus/fake_fleet.h
+++ b/tests/consensus/fake_fleet.h
@@ -22,7 +22,8 @@
 class fake_fleet
 {
 public:
-    explicit fake_fleet(std::size_t hosts, std::uint64_t seed, bool founding = true);
+    // `sizes` may lower the sizes of the log and of messages; its hosts are ignored.
+    fake_fleet(std::size_t hosts, std::uint64_t seed, replica_settings sizes = {});
 
     void run(milliseconds duration);
     // Ends all faults except lost disks, then runs until every host holds every committed entry
@@ -38,7 +39,8 @@
     void start(std::size_t host, bool founding = false);
     void clearDisk(std::size_t host);
     void flipBit(std::size_t host);
-    void failDisk(std::size_t host) { m_hosts[host].files.failing = true; }
+    // The disk refuses writes until the host, which then stops, is started again.
+    void failDisk(std::size_t host) { m_hosts[host].files.failing = isRunning(host); }
     void freeze(std::size_t host, milliseconds duration);
     void cut(std::size_t from, std::size_t to) { m_cuts.insert({from, to}); }
     void isolate(std::size_t host);
@@ -47,6 +49,7 @@
 
     [[nodiscard]] std::size_t size() const { return m_hosts.size(); }
     [[nodiscard]] std::optional<std::size_t> leader() const;
+    [[nodiscard]] bool isRunning(std::size_t host) const { return m_hosts[host].node != nullptr; }
     [[nodiscard]] bool hasLease(std::size_t host) const;
     [[nodiscard]] replica_status status(std::size_t host) const;
     [[nodiscard]] replica_store &store(std::size_t host) { return *m_hosts[host].store; }
@@ -60,8 +63,6 @@
     [[nodiscard]] std::size_t eventCount(const std::string &kind) const;
     [[nodiscard]] milliseconds elapsed() const { return m_elapsed; }
 
-    replica_settings settings;
-
 private:
     struct fake_host
     {
@@ -88,6 +89,7 @@
     [[nodiscard]] std::optional<std::size_t> positionOf(const host_id &id) const;
     [[nodiscard]] bool frozen(const fake_host &host) const { return m_elapsed < host.frozenUntil; }
 
+    replica_settings m_settings;
     std::mt19937_64 m_random;
     std::vector<fake_host> m_hosts;
     std::multimap<milliseconds, std::pair<std::size_t, peer_message>> m_network;
