--- a/stand_in/stand_in_upstream.cpp
+++ b/stand_in/stand_in_upstream.cpp
@@ -35,9 +35,9 @@
 }
 
 // A client that has gone away is no fault of the upstream.
-void reply(const http_request &message, http_response response)
+void reply(const http_request &message, const http_response &response)
 {
-    http_request(message).reply(std::move(response)).then([](const pplx::task<void> &sent) {
+    http_request(message).reply(response).then([](const pplx::task<void> &sent) {
         try {
             sent.get();
         } catch (const std::exception &) {
@@ -196,7 +196,7 @@
 {
     http_response response = responseTo(request, status_codes::OK, "ran");
     response.set_body(makeAnswerBody(request.body), "application/octet-stream");
-    reply(request.message, std::move(response));
+    reply(request.message, response);
 }
 
 void stand_in_upstream::shed(const accepted_request &request)
