--- a/stand_in/load_generator_main.cpp
+++ b/stand_in/load_generator_main.cpp
@@ -1,3 +1,4 @@
+#include "kingcuptiller/protocol/codec.h"
 #include "kingcuptiller/values/error.h"
 #include "stand_in/load_generator.h"
 #include "stand_in/load_report.h"
@@ -28,7 +29,8 @@
             throw error(result_code::command_line_invalid, options.record + " cannot be written");
     }
     const stand_in::load_tally tally = stand_in::addUp(outcomes);
-    fmt::print("{}\n", options.json ? stand_in::asJson(tally) : stand_in::asTable(tally));
+    fmt::print("{}\n",
+               options.json ? writeJson(stand_in::toJson(tally)) : stand_in::asTable(tally));
     const bool mismatched = std::any_of(outcomes.begin(), outcomes.end(),
                                         [](const auto &each) { return each.mismatched; });
     return mismatched ? 1 : 0;
--- a/stand_in/load_report.cpp
+++ b/stand_in/load_report.cpp
@@ -1,9 +1,6 @@
 #include "stand_in/load_report.h"
 
-#include "kingcuptiller/protocol/codec.h"
-
 #include <fmt/format.h>
-#include <json/value.h>
 
 #include <algorithm>
 #include <cmath>
@@ -87,7 +84,7 @@
     return result;
 }
 
-std::string asJson(const load_tally &tally)
+Json::Value toJson(const load_tally &tally)
 {
     Json::Value result(Json::objectValue);
     for (const auto &[workClass, row] : tally) {
@@ -101,7 +98,7 @@
         document["p50Ms"] = Json::Int64(row.p50.count());
         document["p99Ms"] = Json::Int64(row.p99.count());
     }
-    return writeJson(result);
+    return result;
 }
 
 } // namespace kingcuptiller::stand_in
--- a/stand_in/load_report.h
+++ b/stand_in/load_report.h
@@ -2,6 +2,8 @@
 
 #include "stand_in/request_outcome.h"
 
+#include <json/value.h>
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -34,6 +36,6 @@
 [[nodiscard]] std::string asTable(const load_tally &tally);
 
 // One object by class name.
-[[nodiscard]] std::string asJson(const load_tally &tally);
+[[nodiscard]] Json::Value toJson(const load_tally &tally);
 
 } // namespace kingcuptiller::stand_in
