--- a/src/entry/ledger_client.cpp
+++ b/src/entry/ledger_client.cpp
@@ -114,6 +114,7 @@
 void ledger_client::sendClaims(control_link &link, std::vector<claim_queue::entry> batch)
 {
     std::vector<claim> claims;
+    claims.reserve(batch.size());
     for (const auto &each : batch)
         claims.push_back(each.item);
     m_claimCalls.add();
@@ -147,6 +148,7 @@
 void ledger_client::sendSettlements(control_link &link, std::vector<settlement_queue::entry> batch)
 {
     std::vector<settlement> settlements;
+    settlements.reserve(batch.size());
     for (const auto &each : batch)
         settlements.push_back(each.item);
     try {
