--- a/src/entry/entry_routes.cpp
+++ b/src/entry/entry_routes.cpp
@@ -47,9 +47,11 @@
 
 } // namespace
 
-entry_routes::entry_routes(entry_state &state, std::function<instant()> now)
+entry_routes::entry_routes(entry_state &state, std::function<instant()> now,
+                           std::function<wall_time()> wallNow)
     : m_state(state)
     , m_now(std::move(now))
+    , m_wallNow(std::move(wallNow))
     , m_lookups(state.counters.get("kct_lookups_total"))
     , m_announcements(state.counters.get("kct_announcements_total"))
 {
@@ -130,6 +132,8 @@
 {
     if (request.path == "/metrics")
         return plain(200, m_state.counters.text());
+    if (request.path == "/report")
+        return burnReport(request);
     if (request.path == "/healthz")
         return plain(200, "ok\n");
     if (request.path == "/readyz") {
@@ -139,6 +143,17 @@
     throw error(result_code::not_found, std::string(advice(result_code::not_found)));
 }
 
+http_answer entry_routes::burnReport(const http_request &request) const
+{
+    const auto snapshot = m_state.snapshot.load();
+    rendered_report report =
+        m_state.burn.render(parameter(request.query, "format"), *snapshot->current, {},
+                            m_state.identity.host, false, m_wallNow());
+    return {.status = 200,
+            .headers = {{"Content-Type", report.contentType}},
+            .body = std::move(report.body)};
+}
+
 http_answer entry_routes::refusal(const error &reason)
 {
     return toHttpAnswer(
--- a/src/entry/entry_routes.h
+++ b/src/entry/entry_routes.h
@@ -14,7 +14,8 @@
 class entry_routes
 {
 public:
-    entry_routes(entry_state &state, std::function<instant()> now);
+    entry_routes(entry_state &state, std::function<instant()> now,
+                 std::function<wall_time()> wallNow);
 
     void handle(const http_request &request, const http_reply &reply);
 
@@ -24,11 +25,13 @@
     [[nodiscard]] http_answer announce(const http_request &request);
     [[nodiscard]] http_answer withdraw(const http_request &request);
     [[nodiscard]] http_answer operatorPage(const http_request &request);
+    [[nodiscard]] http_answer burnReport(const http_request &request) const;
     [[nodiscard]] http_answer refusal(const error &reason);
     void requireService() const;
 
     entry_state &m_state;
     std::function<instant()> m_now;
+    std::function<wall_time()> m_wallNow;
     counter &m_lookups;
     counter &m_announcements;
 };
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -79,7 +79,7 @@
     explicit implementation(const entry_settings &settings)
         : m_settings(settings)
         , m_ledger([this] { return openLink(); }, readInstant, m_state.counters)
-        , m_routes(m_state, readInstant)
+        , m_routes(m_state, readInstant, readWallTime)
     {
         m_state.identity = identityOf(settings);
         m_state.lookupLifetime = settings.lookupLifetime;
@@ -94,7 +94,7 @@
     void addTo(supervisor &root)
     {
         root.add(threadComponent("sync", [this](const std::stop_token &stop) {
-            internal::sync_loop(m_state, openLink(), readInstant).run(stop);
+            internal::sync_loop(m_state, openLink(), readInstant, readWallTime).run(stop);
         }));
         root.add(threadComponent("timers", [this](const std::stop_token &stop) {
             while (!stop.stop_requested()) {
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -3,6 +3,7 @@
 #include "kingcuptiller/entry/announcement_book.h"
 #include "kingcuptiller/entry/entry_snapshot.h"
 #include "kingcuptiller/entry/work_coordinator.h"
+#include "kingcuptiller/report/burn_board.h"
 #include "kingcuptiller/telemetry/counters.h"
 
 #include <atomic>
@@ -17,6 +18,7 @@
     milliseconds lookupLifetime = entryListLifetime;
     counter_registry counters;
     announcement_book announcements;
+    burn_board burn;
     std::atomic<std::shared_ptr<const entry_snapshot>> snapshot =
         std::make_shared<const entry_snapshot>();
     std::shared_ptr<work_coordinator> coordinator;
--- a/src/entry/sync_loop.cpp
+++ b/src/entry/sync_loop.cpp
@@ -37,10 +37,12 @@
 
 } // namespace
 
-sync_loop::sync_loop(entry_state &state, control_link link, std::function<instant()> now)
+sync_loop::sync_loop(entry_state &state, control_link link, std::function<instant()> now,
+                     std::function<wall_time()> wallNow)
     : m_state(state)
     , m_link(std::move(link))
     , m_now(std::move(now))
+    , m_wallNow(std::move(wallNow))
     , m_syncs(state.counters.get("kct_syncs_total"))
     , m_failures(state.counters.get("kct_syncs_failed_total"))
     , m_stale(state.counters.get("kct_syncs_stale_total"))
@@ -62,6 +64,7 @@
 void sync_loop::syncOnce()
 {
     const entry_sync_request request = makeRequest(m_state);
+    m_state.burn.update(m_state.identity.host.text(), request.service, m_wallNow());
     try {
         const auto answer = m_link.call(entrySyncMethod, toJson(request), syncLimit);
         apply(request, fromJson<entry_sync_response>(answer.result), answer.sentAt);
@@ -88,9 +91,12 @@
     }
     m_syncs.add();
     m_state.counters.get("kct_applied_revision").set(next->revision.number());
-    if (next->revision > former->revision)
+    if (next->revision > former->revision) {
+        m_state.burn.note({m_wallNow(), "configuration_applied",
+                           "revision " + std::to_string(next->revision.number())});
         log_line(log_level::info, "entry", "configuration_applied")
             .field("revision", next->revision.number());
+    }
     m_state.coordinator->apply(response, !former->synced);
     m_state.snapshot.store(std::make_shared<const entry_snapshot>(std::move(*next)));
 }
@@ -102,6 +108,8 @@
     if (refusal == m_loggedRefusal)
         return;
     m_loggedRefusal = refusal;
+    m_state.burn.note({m_wallNow(), refusal ? "refuses_work" : "serves_work",
+                       refusal ? std::string(name(*refusal)) : ""});
     if (refusal)
         log_line(log_level::warning, "entry", "refuses_work").field("code", name(*refusal));
     else
--- a/src/entry/sync_loop.h
+++ b/src/entry/sync_loop.h
@@ -14,7 +14,8 @@
 class sync_loop
 {
 public:
-    sync_loop(entry_state &state, control_link link, std::function<instant()> now);
+    sync_loop(entry_state &state, control_link link, std::function<instant()> now,
+              std::function<wall_time()> wallNow);
 
     // Syncs every 200 ms until a stop is requested.
     void run(const std::stop_token &stop);
@@ -30,6 +31,7 @@
     entry_state &m_state;
     control_link m_link;
     std::function<instant()> m_now;
+    std::function<wall_time()> m_wallNow;
     std::optional<result_code> m_loggedRefusal;
     counter &m_syncs;
     counter &m_failures;
