--- a/daemons/kingcuptiller_control.cpp
+++ b/daemons/kingcuptiller_control.cpp
@@ -6,6 +6,13 @@
 
 using namespace kingcuptiller;
 
+namespace {
+
+// Status pages only; JSON-RPC has its own threads.
+constexpr std::size_t statusThreads = 4;
+
+} // namespace
+
 // A control host. With --init an empty data folder is marked as one of a new fleet.
 int main(int argc, char **argv)
 {
@@ -22,6 +29,7 @@
         }
         setLogLevel(settings.logLevel);
         blockTerminationSignals();
+        setTrafficThreads(statusThreads);
         control_service service(settings, options.init);
         return service.run();
     } catch (const error &failure) {
--- a/include/kingcuptiller/control/control_core.h
+++ b/include/kingcuptiller/control/control_core.h
@@ -3,6 +3,7 @@
 #include "kingcuptiller/control/control_state.h"
 #include "kingcuptiller/control/event_list.h"
 #include "kingcuptiller/control/lease_table.h"
+#include "kingcuptiller/control/service_history.h"
 #include "kingcuptiller/values/error.h"
 
 #include <functional>
@@ -83,6 +84,9 @@
     // Everything but the replicas. Throws as above.
     [[nodiscard]] state_report report(lease_moment moment) const;
 
+    // The burn report of the fleet, made on `host`. Throws as above.
+    [[nodiscard]] burn_report burn(const host_id &host, lease_moment moment) const;
+
     [[nodiscard]] const control_state &state() const { return m_state; }
     // Replaces the state by that of a snapshot.
     void restore(const std::string &snapshot);
@@ -120,6 +124,7 @@
     control_state m_state;
     lease_table m_leases;
     event_list m_events;
+    service_history m_history;
     bool m_leading = false;
     bool m_fleetUpdateInFlight = false;
     instant m_now;
--- a/include/kingcuptiller/control/control_loop.h
+++ b/include/kingcuptiller/control/control_loop.h
@@ -64,10 +64,16 @@
     call(const std::function<void(control_core &, lease_moment, const reply<Value> &)> &action,
          milliseconds limit);
 
+    // Runs `action` in the control thread without waiting for it; false when the queue is full.
+    // `action` must not throw.
+    bool post(const std::function<void(control_core &, lease_moment)> &action);
+
     // As of the end of the last round; safe to call from any thread.
     [[nodiscard]] std::shared_ptr<const replica_status> status() const;
     // Whether this host's leader lease lasts now, read from the clock.
     [[nodiscard]] bool hasLease() const;
+    // Whether the control thread ended a round within the last second.
+    [[nodiscard]] bool isAlive() const;
     // Whether this host knows a leader and holds what the leader has committed.
     [[nodiscard]] bool isReady() const;
 
@@ -112,6 +118,7 @@
     mutable std::mutex m_statusMutex;
     std::shared_ptr<const replica_status> m_status;
     std::atomic<std::int64_t> m_leaseEnd{0};
+    std::atomic<std::int64_t> m_lastRound{0};
 };
 
 template <typename Value>
--- a/include/kingcuptiller/control/control_service.h
+++ b/include/kingcuptiller/control/control_service.h
@@ -2,6 +2,7 @@
 
 #include "kingcuptiller/control/control_loop.h"
 #include "kingcuptiller/control/peer_link.h"
+#include "kingcuptiller/control/status_pages.h"
 #include "kingcuptiller/settings/control_settings.h"
 #include "kingcuptiller/supervision/supervisor.h"
 #include "kingcuptiller/transport/json_rpc_server.h"
@@ -14,7 +15,7 @@
 namespace kingcuptiller {
 
 // A whole control host: the control thread, the links to the other control hosts and the JSON-RPC
-// server, under one supervisor.
+// and HTTP servers, under one supervisor.
 //
 //     control_service service(settings, options.init);
 //     return service.run();
@@ -48,7 +49,9 @@
     counter_registry m_counters;
     std::map<host_id, std::unique_ptr<peer_link>> m_links;
     control_loop m_loop;
+    status_pages m_pages;
     std::unique_ptr<json_rpc_server> m_server;
+    std::unique_ptr<http_server> m_httpServer;
 };
 
 } // namespace kingcuptiller
--- a/src/control/control_core.cpp
+++ b/src/control/control_core.cpp
@@ -64,6 +64,7 @@
     m_fleetUpdateInFlight = false;
     m_nextCollect = m_nextPlan = moment.now;
     m_leases.startLeading(m_state, moment.now);
+    m_history.clear();
     if (m_state.ledger().limits() != m_options.ledger)
         propose(m_options.ledger, moment, [](const command_result *) {});
 }
@@ -253,6 +254,9 @@
 {
     requireLease();
     entry_sync_response response = m_leases.sync(request, m_state, moment);
+    if (response.lease > milliseconds{0})
+        m_history.note({request.entry.host, request.entry.incarnation}, request.service,
+                       moment.wall);
     // The answer gives away a lease, so it must not leave after the end of this host's own.
     requireLease();
     return response;
@@ -270,6 +274,12 @@
     return report;
 }
 
+burn_report control_core::burn(const host_id &host, lease_moment moment) const
+{
+    requireLease();
+    return m_history.report(m_state.currentConfiguration(), m_events.list(), host, moment.wall);
+}
+
 void control_core::tick(lease_moment moment)
 {
     m_now = moment.now;
@@ -334,6 +344,8 @@
     }
     if (update.empty())
         return;
+    for (const auto &each : update.retired)
+        m_history.forget(each);
     m_fleetUpdateInFlight = propose(std::move(update), moment, [this](const command_result *) {
         m_fleetUpdateInFlight = false;
     });
--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -10,6 +10,8 @@
 
 // The replica wants its clock at least this often.
 constexpr milliseconds tickInterval{10};
+// A round that syncs to a slow disk takes some hundred milliseconds at most.
+constexpr milliseconds longestRound{1000};
 
 } // namespace
 
@@ -94,6 +96,11 @@
     return std::exchange(m_tasks, {});
 }
 
+bool control_loop::post(const std::function<void(control_core &, lease_moment)> &action)
+{
+    return enqueue([this, action] { action(*m_session.core, readMoment()); });
+}
+
 void control_loop::receive(peer_message message)
 {
     enqueue(
@@ -154,6 +161,7 @@
     m_ledgerRecords.set(m_session.core->state().ledger().size());
     m_leaseEnd.store(
         m_session.core->isLeading() ? m_session.log->leaseEnd().time_since_epoch().count() : 0);
+    m_lastRound.store(m_options.now().time_since_epoch().count());
     const std::lock_guard lock(m_statusMutex);
     m_status = std::move(status);
 }
@@ -185,10 +193,16 @@
     return m_options.now().time_since_epoch().count() < m_leaseEnd.load();
 }
 
+bool control_loop::isAlive() const
+{
+    const instant last{microseconds(m_lastRound.load())};
+    return m_options.now() < last + longestRound;
+}
+
 bool control_loop::isReady() const
 {
     const auto current = status();
-    return current->voter && !current->leader.empty()
+    return isAlive() && current->voter && !current->leader.empty()
         && (current->role == replica_role::leader || current->committed == current->lastIndex);
 }
 
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -4,6 +4,7 @@
 
 #include "kingcuptiller/protocol/codec.h"
 #include "kingcuptiller/supervision/process.h"
+#include "kingcuptiller/transport/control_calls.h"
 #include "kingcuptiller/transport/system_clock.h"
 
 #include <fmt/format.h>
@@ -77,6 +78,7 @@
                          link->second->send(message);
                  }},
              m_counters)
+    , m_pages(m_loop, m_counters, settings.host)
 {
     for (const auto &each : settings.peers) {
         if (each.host != settings.host)
@@ -110,6 +112,21 @@
                   },
               .stop = [this] { m_server.reset(); },
               .failure = [](instant) { return std::nullopt; }});
+    const http_server::options httpOptions{.address = ipOf(m_settings.httpListen),
+                                           .port = portOf(m_settings.httpListen),
+                                           .certificateFile = "",
+                                           .keyFile = ""};
+    root.add({.name = "http_server",
+              .start =
+                  [this, httpOptions] {
+                      m_httpServer = std::make_unique<http_server>(
+                          httpOptions,
+                          [this](const http_request &request, const http_reply &answer) {
+                              m_pages.handle(request, answer);
+                          });
+                  },
+              .stop = [this] { m_httpServer.reset(); },
+              .failure = [](instant) { return std::nullopt; }});
 }
 
 int control_service::run()
@@ -185,22 +202,18 @@
 
 Json::Value control_service::claimRequests(const Json::Value &params)
 {
-    const auto claims = listOf<claim>(
-        params, "claims", [](const Json::Value &each) { return fromJson<claim>(each); });
+    const auto claims = claimsFromJson(params);
     const auto answers = m_loop.call<std::vector<claim_answer>>(
         [claims](control_core &core, lease_moment moment, const auto &done) {
             core.claimRequests(claims, moment, done);
         },
         callLimit);
-    Json::Value result(Json::objectValue);
-    result["answers"] = listToJson(answers, [](const auto &each) { return toJson(each); });
-    return result;
+    return claimAnswersToJson(answers);
 }
 
 Json::Value control_service::settleRequests(const Json::Value &params)
 {
-    const auto settlements = listOf<settlement>(
-        params, "settlements", [](const Json::Value &each) { return fromJson<settlement>(each); });
+    const auto settlements = settlementsFromJson(params);
     const auto settled = m_loop.call<std::size_t>(
         [settlements](control_core &core, lease_moment moment, const auto &done) {
             core.settleRequests(settlements, moment, done);
