--- a/tests/entry/coordinator_harness.cpp
+++ b/tests/entry/coordinator_harness.cpp
@@ -91,13 +91,14 @@
     };
 }
 
-void coordinator_harness::request(const std::string &workClass, const std::string &key)
+void coordinator_harness::request(const std::string &workClass, const std::string &key,
+                                  milliseconds deadline)
 {
     work_request wanted;
     wanted.workClass = class_name(workClass);
     wanted.key = request_key(key);
     wanted.issueTime = wall_time(std::chrono::seconds(1));
-    wanted.deadline = milliseconds(1000);
+    wanted.deadline = deadline;
     wanted.message = {.method = "POST", .path = "/do", .query = {}, .headers = {}, .body = "body"};
     coordinator->handle(wanted,
                         [this](work_answer answer) { answers.push_back(std::move(answer)); });
--- a/tests/entry/coordinator_harness.h
+++ b/tests/entry/coordinator_harness.h
@@ -35,8 +35,9 @@
     // each, and holds a lease of 2.5 s from time 0.
     coordinator_harness();
 
-    // Sends a request with key "key-1", issue time 1 s and a deadline of 1 s.
-    void request(const std::string &workClass, const std::string &key = "key-1");
+    // Sends a request with issue time 1 s.
+    void request(const std::string &workClass, const std::string &key = "key-1",
+                 milliseconds deadline = milliseconds(1000));
     // Moves the clock and lets the coordinator's timers run.
     void advance(milliseconds time);
     // Moves the clock only, as for a process that was stopped.
--- a/tests/entry/once_only_test.cpp
+++ b/tests/entry/once_only_test.cpp
@@ -130,8 +130,9 @@
     {
         for (const bool old : {false, true}) {
             coordinator_harness harness;
-            harness.request("posting");
-            harness.freeze(milliseconds(old ? 2000 : 900));
+            // Lease and deadline are still good after 2 s.
+            harness.request("posting", "key-1", milliseconds(5000));
+            harness.freeze(milliseconds(old ? 2000 : 1999));
             harness.grant(0);
             CPPUNIT_ASSERT_EQUAL(old, harness.sent.empty());
             CPPUNIT_ASSERT_EQUAL(old, !harness.settled(settlement_kind::released).empty());
