Give up claims in time, bound calls over all hosts, drain the ledger queue before the end

A claim whose batch hung at a silent leader was noticed only when the call ended, possibly after the client's deadline, which made the outcome unknown without need. The coordinator now gives the claim up by its own timer and releases it; a grant after that is not used. A call to control has one time limit over all hosts it tries instead of one for each, 0.8 s for claims instead of 1.5 s.

Pooled connections to upstreams that left the assignment are closed.

--- a/include/kingcuptiller/entry/control_link.h
+++ b/include/kingcuptiller/entry/control_link.h
@@ -37,11 +37,14 @@
         instant sentAt;
     };
 
-    // Tries each host at most once, hinted leaders first. Throws the error of the last try, or at
-    // once one that another host would give too, such as message_malformed.
+    // Tries hosts, hinted leaders first, until one answers, each was tried or `timeout` is over in
+    // all. Throws the error of the last try, or at once one that another host would give too, such
+    // as message_malformed.
     answer call(std::string_view method, const Json::Value &params, milliseconds timeout);
 
 private:
+    void moveOn(const endpoint_address &leader);
+
     std::vector<endpoint_address> m_hosts;
     control_call m_call;
     std::function<instant()> m_now;
--- a/include/kingcuptiller/entry/ledger_client.h
+++ b/include/kingcuptiller/entry/ledger_client.h
@@ -4,6 +4,7 @@
 #include "kingcuptiller/protocol/messages.h"
 #include "kingcuptiller/telemetry/counters.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <cstddef>
 #include <deque>
@@ -93,6 +94,9 @@
     // `done` receives true when the settlement is committed, false at `giveUpAt`.
     void settle(const settlement &settled, instant giveUpAt, std::function<void(bool)> done);
 
+    // Claims and settlements that have not ended. A process that stops waits until there are none.
+    [[nodiscard]] std::size_t open() const { return m_open; }
+
     void runClaims(const std::stop_token &stop);
     void runSettlements(const std::stop_token &stop);
 
@@ -108,6 +112,7 @@
     counter &m_claimCalls;
     counter &m_claims;
     counter &m_failedCalls;
+    std::atomic<std::size_t> m_open{0};
     claim_queue m_claimQueue;
     settlement_queue m_settlementQueue;
 };
--- a/include/kingcuptiller/entry/work_coordinator.h
+++ b/include/kingcuptiller/entry/work_coordinator.h
@@ -101,7 +101,7 @@
     struct ticket;
     // Calls of hooks that are collected under the mutex and made after it is released.
     using action_list = std::vector<std::function<void()>>;
-    enum class timer_kind { deadline, hedge, late_end };
+    enum class timer_kind { deadline, hedge, claim_end, late_end };
     struct timer
     {
         ticket_id ticket;
@@ -115,6 +115,7 @@
     void requestClaim(ticket_id id, std::uint32_t number, const claim &wanted, instant giveUpAt);
     void claimAnswered(ticket_id id, std::uint32_t number,
                        const std::optional<claim_answer> &answer);
+    void claimLost(ticket &each, attempt &claimed, action_list &actions, instant now);
     void claimRefused(ticket &each, attempt &failed, const claim_answer &answer,
                       action_list &actions, instant now);
     void sendClaimed(ticket_id id, std::uint32_t number);
--- a/include/kingcuptiller/transport/http_forwarder.h
+++ b/include/kingcuptiller/transport/http_forwarder.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace kingcuptiller {
@@ -65,8 +66,8 @@
     cancel_function send(const forward_request &request,
                          const std::function<void(forward_result)> &done);
 
-    // Closes the pooled connections to an upstream that is gone.
-    void forget(const endpoint_address &upstream);
+    // Closes the pooled connections to all other upstreams, as far as they are idle.
+    void keepOnly(const std::set<endpoint_address> &upstreams);
 
 private:
     class implementation;
--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -38,25 +38,36 @@
 control_link::answer control_link::call(std::string_view method, const Json::Value &params,
                                         milliseconds timeout)
 {
+    const instant endsAt = m_now() + timeout;
+    instant sentAt = m_now();
     for (std::size_t tries = 1;; ++tries) {
-        const instant sentAt = m_now();
+        const auto left = std::chrono::duration_cast<milliseconds>(endsAt - sentAt);
+        const auto mayTryAgain = [&] {
+            sentAt = m_now();
+            return tries < m_hosts.size() && endsAt - sentAt >= milliseconds(1);
+        };
         try {
-            return {.result = m_call(m_hosts[m_current], method, params, timeout),
-                    .sentAt = sentAt};
+            return {.result = m_call(m_hosts[m_current], method, params, left), .sentAt = sentAt};
         } catch (const not_leader_error &refusal) {
-            const auto leader = std::find(m_hosts.begin(), m_hosts.end(), refusal.leader());
-            m_current = leader != m_hosts.end() ? static_cast<std::size_t>(leader - m_hosts.begin())
-                                                : (m_current + 1) % m_hosts.size();
-            if (tries >= m_hosts.size())
+            moveOn(refusal.leader());
+            if (!mayTryAgain())
                 throw;
         } catch (const error &failure) {
             if (!anotherHostMayAnswer(failure.code()))
                 throw;
-            m_current = (m_current + 1) % m_hosts.size();
-            if (tries >= m_hosts.size())
+            moveOn({});
+            if (!mayTryAgain())
                 throw;
         }
     }
 }
 
+// Only configured hosts are called, whatever a hint says.
+void control_link::moveOn(const endpoint_address &leader)
+{
+    const auto found = std::find(m_hosts.begin(), m_hosts.end(), leader);
+    m_current = found != m_hosts.end() ? static_cast<std::size_t>(found - m_hosts.begin())
+                                       : (m_current + 1) % m_hosts.size();
+}
+
 } // namespace kingcuptiller
--- a/src/entry/coordinator_ticket.h
+++ b/src/entry/coordinator_ticket.h
@@ -13,6 +13,8 @@
     instant startedAt{};
     // When the claim was requested; its lifetime counts from here.
     instant claimedAt{};
+    // An answer to the claim after this time is not used.
+    instant claimGivenUpAt{};
     cancel_function cancel;
     // Set when the sending is decided; an attempt is never sent twice.
     bool used = false;
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -130,7 +130,7 @@
             return true;
         return snapshot->releasedAt
             && readInstant() >= *snapshot->releasedAt + m_state.lookupLifetime
-            && m_state.coordinator->open() == 0;
+            && m_state.coordinator->open() == 0 && m_ledger.open() == 0;
     }
 
 private:
@@ -150,7 +150,7 @@
                     return fmt::format("{}-{}", m_state.identity.incarnation.text(), ++m_drawn);
                 },
             .forward = [this](const forward_request &request,
-                              const auto &done) { return m_forwarder.send(request, done); },
+                              const auto &done) { return m_state.forwarder.send(request, done); },
             .requestClaim =
                 [this](const claim &wanted, instant giveUpAt, auto done) {
                     m_ledger.requestClaim(wanted, giveUpAt, std::move(done));
@@ -162,7 +162,6 @@
 
     const entry_settings m_settings;
     internal::entry_state m_state;
-    http_forwarder m_forwarder;
     ledger_client m_ledger;
     internal::entry_routes m_routes;
     std::unique_ptr<http_server> m_server;
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -17,6 +17,7 @@
     milliseconds lookupLifetime = entryListLifetime;
     counter_registry counters;
     announcement_book announcements;
+    http_forwarder forwarder;
     std::atomic<std::shared_ptr<const entry_snapshot>> snapshot =
         std::make_shared<const entry_snapshot>();
     std::shared_ptr<work_coordinator> coordinator;
--- a/src/entry/ledger_client.cpp
+++ b/src/entry/ledger_client.cpp
@@ -18,8 +18,9 @@
 constexpr std::size_t maximumBatchBytes = std::size_t(512) * 1024;
 // A claim or a settlement without its answer body, as JSON.
 constexpr std::size_t itemBytes = 512;
-// Covers a round trip between regions, a commit, and an election that has just begun.
-constexpr milliseconds callLimit{1500};
+// Covers two round trips between regions (up to 110 ms each) and a commit several times. A silent
+// leader holds up a batch for this long.
+constexpr milliseconds callLimit{800};
 // Between two tries while no leader answers.
 constexpr milliseconds pauseAfterFailure{20};
 
@@ -76,17 +77,27 @@
 void ledger_client::requestClaim(const claim &wanted, instant giveUpAt,
                                  std::function<void(std::optional<claim_answer>)> done)
 {
-    m_claimQueue.push(
-        {.item = wanted, .giveUpAt = giveUpAt, .bytes = itemBytes, .done = std::move(done)});
+    ++m_open;
+    m_claimQueue.push({.item = wanted,
+                       .giveUpAt = giveUpAt,
+                       .bytes = itemBytes,
+                       .done = [this, done = std::move(done)](std::optional<claim_answer> answer) {
+                           --m_open;
+                           done(std::move(answer));
+                       }});
 }
 
 void ledger_client::settle(const settlement &settled, instant giveUpAt,
                            std::function<void(bool)> done)
 {
+    ++m_open;
     m_settlementQueue.push({.item = settled,
                             .giveUpAt = giveUpAt,
                             .bytes = bytesOf(settled),
-                            .done = std::move(done)});
+                            .done = [this, done = std::move(done)](bool committed) {
+                                --m_open;
+                                done(committed);
+                            }});
 }
 
 void ledger_client::runClaims(const std::stop_token &stop)
--- a/src/entry/sync_loop.cpp
+++ b/src/entry/sync_loop.cpp
@@ -6,6 +6,7 @@
 
 #include <condition_variable>
 #include <mutex>
+#include <set>
 #include <utility>
 
 namespace kingcuptiller::internal {
@@ -35,6 +36,14 @@
     return request;
 }
 
+std::set<endpoint_address> addressesOf(const std::vector<upstream_assignment> &assignments)
+{
+    std::set<endpoint_address> addresses;
+    for (const upstream_assignment &each : assignments)
+        addresses.insert(each.address);
+    return addresses;
+}
+
 } // namespace
 
 sync_loop::sync_loop(entry_state &state, control_link link, std::function<instant()> now)
@@ -92,6 +101,8 @@
         log_line(log_level::info, "entry", "configuration_applied")
             .field("revision", next->revision.number());
     m_state.coordinator->apply(response, !former->synced);
+    if (response.newAssignments)
+        m_state.forwarder.keepOnly(addressesOf(*response.newAssignments));
     m_state.snapshot.store(std::make_shared<const entry_snapshot>(std::move(*next)));
 }
 
--- a/src/entry/work_claims.cpp
+++ b/src/entry/work_claims.cpp
@@ -65,13 +65,18 @@
                 [self = shared_from_this(), id, number] { self->sendClaimed(id, number); });
             return;
         }
-        // The claim may be committed although no answer came, so it is released.
-        reportAttempt(*each, claimed, attempt_outcome::not_sent, 0, now);
-        release(*each, claimed, result_code::claim_not_committed, false, actions, now);
-        takeReady(actions, now);
+        claimLost(*each, claimed, actions, now);
     });
 }
 
+// The claim may be committed although no answer came, so it is released.
+void work_coordinator::claimLost(ticket &each, attempt &claimed, action_list &actions, instant now)
+{
+    reportAttempt(each, claimed, attempt_outcome::not_sent, 0, now);
+    release(each, claimed, result_code::claim_not_committed, false, actions, now);
+    takeReady(actions, now);
+}
+
 void work_coordinator::claimRefused(ticket &each, attempt &failed, const claim_answer &answer,
                                     action_list &actions, instant now)
 {
--- a/src/entry/work_coordinator.cpp
+++ b/src/entry/work_coordinator.cpp
@@ -165,8 +165,9 @@
                        .entryIncarnation = m_settings.identity.incarnation,
                        .deadline = toMilliseconds(each.deadline - now)};
     // The last quarter of the time is left for the release of a claim that was not answered.
-    const instant giveUpAt =
+    const instant giveUpAt = started.claimGivenUpAt =
         now + std::min<microseconds>(m_settings.claimLifetime, (each.deadline - now) * 3 / 4);
+    m_timers.emplace(giveUpAt, timer{each.id, timer_kind::claim_end});
     actions.emplace_back([self, id = each.id, number = started.number, wanted, giveUpAt] {
         self->requestClaim(id, number, wanted, giveUpAt);
     });
@@ -302,6 +303,13 @@
         return deadlinePassed(*each, actions, now);
     case timer_kind::hedge:
         return hedge(*each, actions, now);
+    case timer_kind::claim_end: {
+        // An earlier attempt of the ticket has ended; only the last one can wait for its claim.
+        attempt &last = each->attempts.rbegin()->second;
+        if (!last.used && !last.ended && now >= last.claimGivenUpAt)
+            claimLost(*each, last, actions, now);
+        return;
+    }
     case timer_kind::late_end:
         return cancelOpen(*each, actions);
     }
--- a/src/transport/http_forwarder.cpp
+++ b/src/transport/http_forwarder.cpp
@@ -188,10 +188,11 @@
         return found;
     }
 
-    void forget(const endpoint_address &upstream)
+    void keepOnly(const std::set<endpoint_address> &upstreams)
     {
         const std::lock_guard lock(m_mutex);
-        m_clients.erase(upstream);
+        std::erase_if(m_clients,
+                      [&upstreams](const auto &each) { return !upstreams.contains(each.first); });
     }
 
 private:
@@ -226,9 +227,9 @@
     };
 }
 
-void http_forwarder::forget(const endpoint_address &upstream)
+void http_forwarder::keepOnly(const std::set<endpoint_address> &upstreams)
 {
-    m_implementation->forget(upstream);
+    m_implementation->keepOnly(upstreams);
 }
 
 } // namespace kingcuptiller
--- a/tests/entry/once_only_test.cpp
+++ b/tests/entry/once_only_test.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(frozenEntrySendsNothingAndReleases);
     CPPUNIT_TEST(oldClaimIsNotUsed);
     CPPUNIT_TEST(lostClaimAnswerIsFencedBeforeTheRefusal);
+    CPPUNIT_TEST(claimThatStaysUnansweredIsGivenUp);
     CPPUNIT_TEST(crossedClaimAnswerGrantsNothing);
     CPPUNIT_TEST(repeatedClaimAnswerSendsOnce);
     CPPUNIT_TEST(uncommittedReleaseLeavesTheOutcomeOpen);
@@ -153,6 +154,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), harness.coordinator->open());
     }
 
+    // Guards against a client that hears nothing until its deadline, and against a late grant that
+    // is used although the attempt's release is on its way.
+    void claimThatStaysUnansweredIsGivenUp()
+    {
+        coordinator_harness harness;
+        harness.request("posting");
+        harness.advance(milliseconds(749));
+        CPPUNIT_ASSERT(harness.settlements.empty());
+        harness.advance(milliseconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.settled(settlement_kind::released).size());
+        harness.grant(0);
+        CPPUNIT_ASSERT(harness.sent.empty());
+        harness.settlements[0].done(true);
+        CPPUNIT_ASSERT_EQUAL(std::string("claim_not_committed"), harness.told());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.settlements.size());
+    }
+
     // Guards against the grant of another request being used for this one.
     void crossedClaimAnswerGrantsNothing()
     {
