--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -19,6 +19,7 @@
     counter_registry counters;
     announcement_book announcements;
     burn_board burn;
+    http_forwarder forwarder;
     std::atomic<std::shared_ptr<const entry_snapshot>> snapshot =
         std::make_shared<const entry_snapshot>();
     std::shared_ptr<work_coordinator> coordinator;
