--- a/include/kingcuptiller/consensus/replica.h
+++ b/include/kingcuptiller/consensus/replica.h
@@ -36,6 +36,9 @@
     std::size_t compactionEntries = 1000;
     // Entries before a snapshot that stay in the log for replicas that are a little behind.
     std::size_t keptEntries = 500;
+    // The most JSON text for the entries of one append, unless a single entry needs more; at most
+    // `maximumAppendJsonBytes`.
+    std::size_t appendJsonBytes = maximumAppendJsonBytes;
     std::size_t snapshotPartBytes = 256 * std::size_t{1024};
     // `propose` refuses while this much is not committed.
     std::size_t maximumUncommittedBytes = 32 * std::size_t{1024} * 1024;
--- a/src/consensus/replica_replication.cpp
+++ b/src/consensus/replica_replication.cpp
@@ -82,7 +82,7 @@
     while (reachable && peer.unanswered < maximumUnanswered && peer.next <= m_store.lastIndex()) {
         const log_record &entry = m_store.entry(peer.next);
         bytes += commandJsonBytes(entry.payload) + entryOverheadBytes;
-        if (!request.entries.empty() && bytes > maximumAppendJsonBytes)
+        if (!request.entries.empty() && bytes > m_settings.appendJsonBytes)
             break;
         request.entries.push_back(entry);
         peer.next = peer.next.next();
--- a/tests/consensus/fake_fleet.cpp
+++ b/tests/consensus/fake_fleet.cpp
@@ -91,6 +91,14 @@
     host.files.flipBit(names[m_random() % names.size()], m_random());
 }
 
+void fake_fleet::replaceDisk(std::size_t position, const fake_disk &files)
+{
+    kill(position);
+    m_hosts[position].files = files;
+    m_hosts[position].lostIncarnations.clear();
+    start(position);
+}
+
 void fake_fleet::freeze(std::size_t position, milliseconds duration)
 {
     m_hosts[position].frozenUntil = m_elapsed + duration;
--- a/tests/consensus/fake_fleet.h
+++ b/tests/consensus/fake_fleet.h
@@ -39,8 +39,14 @@
     void start(std::size_t host, bool founding = false);
     void clearDisk(std::size_t host);
     void flipBit(std::size_t host);
+    // Starts the host with another disk, which may be one that it had before.
+    void replaceDisk(std::size_t host, const fake_disk &files);
     // The disk refuses writes until the host, which then stops, is started again.
-    void failDisk(std::size_t host) { m_hosts[host].files.failing = isRunning(host); }
+    void failDisk(std::size_t host)
+    {
+        if (isRunning(host))
+            m_hosts[host].files.failAfter = 0;
+    }
     void freeze(std::size_t host, milliseconds duration);
     void cut(std::size_t from, std::size_t to) { m_cuts.insert({from, to}); }
     void isolate(std::size_t host);
--- a/tests/consensus/replica_property_test.cpp
+++ b/tests/consensus/replica_property_test.cpp
@@ -3,7 +3,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <array>
 #include <cstdint>
+#include <ostream>
 #include <tuple>
 #include <vector>
 
@@ -15,16 +17,26 @@
 enum class fault {
     quiet,
     isolate,
-    cutOneWay,
+    cut_one_way,
+    cut_pair,
     freeze,
     kill,
-    clearDisk,
-    flipBit,
-    failDisk,
-    endFaults,
-    manyProposals,
+    restart,
+    clear_disk,
+    flip_bit,
+    fail_disk,
+    end_faults,
+    many_proposals,
 };
 
+void showValue(fault what, std::ostream &stream)
+{
+    constexpr std::array names = {"quiet",    "isolate",   "cut_one_way", "cut_pair",
+                                  "freeze",   "kill",      "restart",     "clear_disk",
+                                  "flip_bit", "fail_disk", "end_faults",  "many_proposals"};
+    stream << names.at(static_cast<std::size_t>(what));
+}
+
 // A fault, the host it hits and how long the fleet then runs.
 using fault_step = std::tuple<fault, std::uint8_t, std::uint16_t>;
 
@@ -33,14 +45,16 @@
     return rc::gen::container<std::vector<fault_step>>(rc::gen::tuple(
         rc::gen::weightedElement<fault>({{2, fault::quiet},
                                          {2, fault::isolate},
-                                         {3, fault::cutOneWay},
+                                         {3, fault::cut_one_way},
+                                         {3, fault::cut_pair},
                                          {3, fault::freeze},
                                          {3, fault::kill},
-                                         {1, fault::clearDisk},
-                                         {1, fault::flipBit},
-                                         {1, fault::failDisk},
-                                         {6, fault::endFaults},
-                                         {2, fault::manyProposals}}),
+                                         {3, fault::restart},
+                                         {1, fault::clear_disk},
+                                         {1, fault::flip_bit},
+                                         {1, fault::fail_disk},
+                                         {6, fault::end_faults},
+                                         {2, fault::many_proposals}}),
         rc::gen::arbitrary<std::uint8_t>(), rc::gen::inRange<std::uint16_t>(0, 2500)));
 }
 
@@ -66,14 +80,19 @@
 
 void applyFault(fake_fleet &fleet, fault what, std::size_t host, std::uint16_t length)
 {
+    const std::size_t other = (host + 1 + length % (fleet.size() - 1)) % fleet.size();
     switch (what) {
     case fault::quiet:
         break;
     case fault::isolate:
         fleet.isolate(host);
         break;
-    case fault::cutOneWay:
-        fleet.cut(host, (host + 1 + length % (fleet.size() - 1)) % fleet.size());
+    case fault::cut_one_way:
+        fleet.cut(host, other);
+        break;
+    case fault::cut_pair:
+        fleet.cut(host, other);
+        fleet.cut(other, host);
         break;
     case fault::freeze:
         fleet.freeze(host, milliseconds(length + 700));
@@ -81,27 +100,37 @@
     case fault::kill:
         fleet.kill(host);
         break;
-    case fault::clearDisk:
-    case fault::flipBit:
+    case fault::restart:
+        fleet.kill(host);
+        fleet.start(host);
+        break;
+    case fault::clear_disk:
+    case fault::flip_bit:
         if (stoppedHosts(fleet) == 0)
-            loseDisk(fleet, host, what == fault::clearDisk);
+            loseDisk(fleet, host, what == fault::clear_disk);
         break;
-    case fault::failDisk:
+    case fault::fail_disk:
         fleet.failDisk(host);
         break;
-    case fault::endFaults:
+    case fault::end_faults:
         fleet.heal();
         for (std::size_t stopped = 0; stopped < fleet.size(); ++stopped) {
             if (!fleet.isRunning(stopped))
                 fleet.start(stopped);
         }
         break;
-    case fault::manyProposals:
+    case fault::many_proposals:
         fleet.propose(60, 50);
         break;
     }
 }
 
+// Half of the faults hit the leader, which has the most promises to break.
+std::size_t hostFor(const fake_fleet &fleet, std::uint8_t choice)
+{
+    return choice % 2 == 0 ? fleet.leader().value_or(0) : choice / 2 % fleet.size();
+}
+
 void runScenario(std::size_t hosts)
 {
     const auto seed = *rc::gen::noShrink(rc::gen::arbitrary<std::uint32_t>());
@@ -111,12 +140,14 @@
     sizes.compactionEntries = 40;
     sizes.keptEntries = 10;
     sizes.snapshotPartBytes = 700;
+    sizes.appendJsonBytes = 300;
     fake_fleet fleet(hosts, seed, sizes);
     fleet.settle();
     for (const auto &[what, host, length] : steps) {
-        applyFault(fleet, what, host % hosts, length);
+        applyFault(fleet, what, hostFor(fleet, host), length);
         for (std::uint16_t passed = 0; passed < length; passed += 100) {
-            fleet.propose(2);
+            // Without proposals a host that is cut off has as new a log as the others.
+            fleet.propose(length % 2 == 0 ? 2 : 0);
             fleet.run(milliseconds(100));
         }
     }
--- a/tests/consensus/replica_test.cpp
+++ b/tests/consensus/replica_test.cpp
@@ -1,29 +1,338 @@
 #include "tests/consensus/fake_fleet.h"
 
+#include "kingcuptiller/values/error.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 using namespace kingcuptiller;
+using kingcuptiller::testing::fake_disk;
 using kingcuptiller::testing::fake_fleet;
 
 namespace {
 
+const replica_identity self{host_id("control-0"), incarnation_id("i1")};
+const replica_identity second{host_id("control-1"), incarnation_id("i2")};
+const replica_identity third{host_id("control-2"), incarnation_id("i3")};
+const replica_identity newThird{host_id("control-2"), incarnation_id("i4")};
+
+// One replica whose log holds a membership of three and a command of term 2, driven by hand.
+class lone_replica
+{
+public:
+    lone_replica()
+        : store(files.hooks(), {self.host, false, [] { return self.incarnation.text(); }})
+    {
+        membership members;
+        store.saveVote({epoch_number(2), std::nullopt});
+        store.append({record_kind::membership, epoch_number(1), log_index(1),
+                      encodeMembership(members.with(self).with(second).with(third))});
+        store.append({record_kind::command, epoch_number(2), log_index(2), "command"});
+        replica_settings settings;
+        settings.hosts = {self.host, second.host, third.host};
+        node = std::make_unique<replica>(settings, replica_hooks{{}, {}, [] { return 0; }}, store,
+                                         now);
+    }
+
+    void receive(const replica_identity &from, std::uint64_t term, peer_message_body body)
+    {
+        node->receive({from, self, epoch_number(term), std::move(body)}, now);
+    }
+
+    void advance(milliseconds duration)
+    {
+        now += duration;
+        node->tick(now);
+    }
+
+    void becomeLeader()
+    {
+        advance(milliseconds(1000));
+        receive(second, 3, vote_answer{true, true});
+        receive(second, 3, vote_answer{false, true});
+        static_cast<void>(node->takeOutgoing());
+    }
+
+    void acknowledge(const replica_identity &from, std::uint64_t index)
+    {
+        receive(from, 3, append_answer{true, log_index(index), now.time_since_epoch().count()});
+    }
+
+    // How the replica answers a real request for a vote in `term` from a log that is as new.
+    bool grantsVote(std::uint64_t term)
+    {
+        receive(second, term, vote_request{false, log_index(2), epoch_number(2)});
+        const std::vector<peer_message> sent = node->takeOutgoing();
+        return std::any_of(sent.begin(), sent.end(), [](const peer_message &message) {
+            const auto *const answer = std::get_if<vote_answer>(&message.body);
+            return answer != nullptr && answer->granted;
+        });
+    }
+
+    fake_disk files;
+    instant now{microseconds(5'000'000)};
+    replica_store store;
+    std::unique_ptr<replica> node;
+};
+
 } // namespace
 
 class replica_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(replica_test);
-    CPPUNIT_TEST(foundingHostsFormAFleetThatCommits);
+    CPPUNIT_TEST(noVoteRightAfterTheStart);
+    CPPUNIT_TEST(noVoteRightAfterALeaderWasHeard);
+    CPPUNIT_TEST(votesAndAnswersOfAnotherIncarnationDoNotCount);
+    CPPUNIT_TEST(anEntryOfAFormerTermIsNotCommittedByItsCopies);
+    CPPUNIT_TEST(membershipChangesOneReplicaAtATime);
+    CPPUNIT_TEST(aFrozenLeaderHasNoLeaseWhenItResumes);
+    CPPUNIT_TEST(impossibleProposalsAreRefusedWithTheirCode);
+    CPPUNIT_TEST(aBatchOfProposalsCostsOneSync);
+    CPPUNIT_TEST(noFleetIsFormedWithoutAllFoundingHosts);
+    CPPUNIT_TEST(aSecondLossRightAfterARepairLosesNothing);
+    CPPUNIT_TEST(aSilentlyIsolatedLeaderIsReplacedAndFollowsLater);
+    CPPUNIT_TEST(theLogStaysBoundedAndARestartReadsLittle);
+    CPPUNIT_TEST(anOldDataFolderIsToldThatItIsSuperseded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    // Guards against a new fleet that needs an operator, or that commits without a majority.
-    void foundingHostsFormAFleetThatCommits()
+    // Guards against a replica that acknowledged a heartbeat, restarts and helps another leader up
+    // while the lease of the first one still runs.
+    void noVoteRightAfterTheStart()
+    {
+        lone_replica lone;
+        lone.advance(milliseconds(10));
+        CPPUNIT_ASSERT(!lone.grantsVote(3));
+        CPPUNIT_ASSERT_EQUAL(epoch_number(2), lone.node->status().term);
+        lone.now += milliseconds(491);
+        CPPUNIT_ASSERT(lone.grantsVote(3));
+    }
+
+    // Guards against two leaders with a lease, and against a cut-off replica raising the term.
+    void noVoteRightAfterALeaderWasHeard()
+    {
+        lone_replica lone;
+        lone.now += milliseconds(1000);
+        lone.receive(third, 2, append_request{log_index(2), epoch_number(2), {}, {}, 0});
+        static_cast<void>(lone.node->takeOutgoing());
+        lone.now += milliseconds(499);
+        CPPUNIT_ASSERT(!lone.grantsVote(3));
+        CPPUNIT_ASSERT_EQUAL(epoch_number(2), lone.node->status().term);
+        lone.now += milliseconds(2);
+        CPPUNIT_ASSERT(lone.grantsVote(3));
+    }
+
+    // Guards against promises of a lost disk being credited to the empty one that replaced it.
+    void votesAndAnswersOfAnotherIncarnationDoNotCount()
+    {
+        lone_replica lone;
+        lone.advance(milliseconds(1000));
+        lone.receive(newThird, 3, vote_answer{true, true});
+        lone.receive(newThird, 3, vote_answer{false, true});
+        CPPUNIT_ASSERT(lone.node->status().role == replica_role::candidate);
+        lone.becomeLeader();
+        CPPUNIT_ASSERT(lone.node->status().role == replica_role::leader);
+        lone.acknowledge(newThird, 3);
+        CPPUNIT_ASSERT_EQUAL(log_index(0), lone.node->status().committed);
+        CPPUNIT_ASSERT(!lone.node->hasLease(lone.now));
+        lone.acknowledge(third, 3);
+        CPPUNIT_ASSERT_EQUAL(log_index(3), lone.node->status().committed);
+    }
+
+    // Guards against committing an entry that a leader with a newer last term may still replace.
+    void anEntryOfAFormerTermIsNotCommittedByItsCopies()
+    {
+        lone_replica lone;
+        lone.becomeLeader();
+        lone.acknowledge(second, 2);
+        CPPUNIT_ASSERT(lone.node->takeCommitted().empty());
+        CPPUNIT_ASSERT(!lone.node->hasLease(lone.now));
+        lone.acknowledge(second, 3);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lone.node->takeCommitted().size());
+        CPPUNIT_ASSERT(lone.node->hasLease(lone.now));
+    }
+
+    // Guards against two majorities without a common replica: a change must be committed before the
+    // next, and the first one needs a committed entry of the leader's own term.
+    void membershipChangesOneReplicaAtATime()
+    {
+        lone_replica lone;
+        lone.becomeLeader();
+        lone.receive(newThird, 0, join_request{false, {}});
+        const auto acknowledgeFor = [&](milliseconds duration, std::uint64_t index) {
+            for (milliseconds passed(0); passed < duration; passed += milliseconds(100)) {
+                lone.acknowledge(second, index);
+                lone.acknowledge(newThird, 2);
+                lone.acknowledge(newThird, 3);
+                lone.advance(milliseconds(100));
+                static_cast<void>(lone.node->takeOutgoing());
+            }
+        };
+        acknowledgeFor(milliseconds(3000), 2);
+        CPPUNIT_ASSERT_EQUAL(log_index(3), lone.store.lastIndex());
+        acknowledgeFor(milliseconds(3000), 3);
+        CPPUNIT_ASSERT_EQUAL(log_index(4), lone.store.lastIndex());
+        CPPUNIT_ASSERT(lone.node->status().members == membership().with(self).with(second));
+        acknowledgeFor(milliseconds(3000), 4);
+        CPPUNIT_ASSERT_EQUAL(log_index(5), lone.store.lastIndex());
+        CPPUNIT_ASSERT(lone.node->status().members
+                       == membership().with(self).with(second).with(newThird));
+    }
+
+    // Guards against a leader that was stopped and answers as if no time had passed.
+    void aFrozenLeaderHasNoLeaseWhenItResumes()
+    {
+        lone_replica lone;
+        lone.becomeLeader();
+        lone.acknowledge(second, 3);
+        static_cast<void>(lone.node->takeCommitted());
+        CPPUNIT_ASSERT(lone.node->hasLease(lone.now + milliseconds(449)));
+        CPPUNIT_ASSERT(!lone.node->hasLease(lone.now + milliseconds(450)));
+        lone.advance(milliseconds(10000));
+        CPPUNIT_ASSERT(lone.node->status().role == replica_role::follower);
+    }
+
+    // Guards against a command that cannot be copied to the followers unchanged.
+    void impossibleProposalsAreRefusedWithTheirCode()
+    {
+        struct row
+        {
+            std::string command;
+            result_code code;
+        };
+        lone_replica lone;
+        CPPUNIT_ASSERT(!lone.node->propose("{}", lone.now));
+        lone.becomeLeader();
+        for (const row &row :
+             {row{"\xc3\x28", result_code::message_malformed},
+              row{"\xed\xa0\x80", result_code::message_malformed},
+              row{std::string(maximumAppendJsonBytes, 'x'), result_code::message_too_large},
+              row{std::string(maximumAppendJsonBytes / 2, '"'), result_code::message_too_large}}) {
+            try {
+                static_cast<void>(lone.node->propose(row.command, lone.now));
+                CPPUNIT_FAIL("accepted a command of " + std::to_string(row.command.size()));
+            } catch (const error &refusal) {
+                CPPUNIT_ASSERT(row.code == refusal.code());
+            }
+        }
+        std::size_t accepted = 0;
+        while (lone.node->propose(std::string(500'000, 'x'), lone.now))
+            ++accepted;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{68}, accepted);
+    }
+
+    // Guards against a sync for each command, which would bound the commits a second.
+    void aBatchOfProposalsCostsOneSync()
     {
         fake_fleet fleet(3, 1);
         fleet.settle();
+        const std::size_t before = fleet.files(*fleet.leader()).syncs;
         fleet.propose(100);
         fleet.settle();
         CPPUNIT_ASSERT_EQUAL(std::size_t{100}, fleet.committedCount());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.files(*fleet.leader()).syncs - before);
+    }
+
+    // Guards against a second fleet beside one that has already been formed.
+    void noFleetIsFormedWithoutAllFoundingHosts()
+    {
+        fake_fleet fleet(3, 1);
+        fleet.clearDisk(2);
+        fleet.run(milliseconds(5000));
+        CPPUNIT_ASSERT(!fleet.leader());
+        fleet.start(2, false);
+        fleet.run(milliseconds(5000));
+        CPPUNIT_ASSERT(!fleet.leader());
+        fleet.clearDisk(2);
+        fleet.start(2, true);
+        fleet.settle();
+    }
+
+    // Guards against a repair that is reported before the new replica holds what was committed.
+    void aSecondLossRightAfterARepairLosesNothing()
+    {
+        for (std::uint64_t seed = 0; seed < 20; ++seed) {
+            fake_fleet fleet(3, seed);
+            fleet.settle();
+            fleet.propose(300);
+            fleet.settle();
+            const std::size_t lost = (*fleet.leader() + 1) % 3;
+            fleet.clearDisk(lost);
+            fleet.start(lost);
+            for (int turn = 0; turn < 1000 && fleet.eventCount("replica_repaired") == 0; ++turn) {
+                fleet.propose(1);
+                fleet.run(milliseconds(10));
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.eventCount("replica_repaired"));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.eventCount("replica_learning"));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.eventCount("replica_removed"));
+            fleet.clearDisk((lost + 1 + seed % 2) % 3);
+            fleet.settle();
+            CPPUNIT_ASSERT(fleet.committedCount() > 300);
+        }
+    }
+
+    // Guards against a control host that is cut off without notice and is still believed.
+    void aSilentlyIsolatedLeaderIsReplacedAndFollowsLater()
+    {
+        fake_fleet fleet(3, 1);
+        fleet.settle();
+        const std::size_t old = *fleet.leader();
+        fleet.propose(1);
+        fleet.isolate(old);
+        fleet.run(milliseconds(2000));
+        CPPUNIT_ASSERT(fleet.leader() && *fleet.leader() != old);
+        CPPUNIT_ASSERT(fleet.status(old).role != replica_role::leader);
+        fleet.propose(2000, 200);
+        fleet.run(milliseconds(60000));
+        const epoch_number term = fleet.status(*fleet.leader()).term;
+        fleet.settle();
+        // Pre-votes keep the returning host from disturbing the others.
+        CPPUNIT_ASSERT_EQUAL(term, fleet.status(*fleet.leader()).term);
+    }
+
+    // Guards against a start-up time that grows with the age of the fleet.
+    void theLogStaysBoundedAndARestartReadsLittle()
+    {
+        fake_fleet fleet(3, 1);
+        fleet.settle();
+        for (int round = 0; round < 50; ++round) {
+            fleet.propose(200);
+            fleet.run(milliseconds(100));
+        }
+        fleet.settle();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{10000}, fleet.committedCount());
+        for (std::size_t host = 0; host < fleet.size(); ++host) {
+            const std::size_t snapshot = fleet.files(host).content("snapshot").size();
+            fleet.kill(host);
+            fleet.start(host);
+            const replica_store &store = fleet.store(host);
+            const std::size_t kept = store.lastIndex().number() - store.baseIndex().number();
+            CPPUNIT_ASSERT(store.bytesSinceSnapshot() < 2 * snapshot);
+            CPPUNIT_ASSERT_MESSAGE("the log holds " + std::to_string(kept) + " entries",
+                                   kept < 8000);
+            fleet.settle();
+        }
+    }
+
+    // Guards against a folder that was restored from a copy and votes beside its successor.
+    void anOldDataFolderIsToldThatItIsSuperseded()
+    {
+        fake_fleet fleet(3, 1);
+        fleet.settle();
+        const std::size_t host = (*fleet.leader() + 1) % 3;
+        const fake_disk copy = fleet.files(host).clone();
+        fleet.clearDisk(host);
+        fleet.settle();
+        fleet.replaceDisk(host, copy);
+        fleet.run(milliseconds(5000));
+        CPPUNIT_ASSERT(fleet.status(host).superseded);
+        fleet.store(host).abandon();
+        fleet.kill(host);
+        fleet.settle();
     }
 };
 
--- a/tests/storage/fake_disk.h
+++ b/tests/storage/fake_disk.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -29,8 +30,10 @@
             if (!file)
                 file = std::make_shared<file_content>();
             // A failing disk may have taken a part of the bytes.
-            file->bytes += failing ? bytes.substr(0, bytes.size() / 2) : bytes;
-            refuseIfFailing();
+            const bool refused = refuses();
+            file->bytes += refused ? bytes.substr(0, bytes.size() / 2) : bytes;
+            if (refused)
+                refuse();
         };
         result.sync = [this](const std::string &name) {
             refuseIfFailing();
@@ -55,7 +58,7 @@
 
     void crash(std::mt19937_64 &random)
     {
-        failing = false;
+        failAfter.reset();
         m_names = m_durableNames;
         for (auto &[name, file] : m_names) {
             // Only appends occur between two syncs, so that the synced bytes are a prefix.
@@ -69,7 +72,17 @@
     {
         m_names.clear();
         m_durableNames.clear();
-        failing = false;
+        failAfter.reset();
+    }
+
+    // A copy that shares nothing with this disk, as if the folder had been copied.
+    [[nodiscard]] fake_disk clone() const
+    {
+        fake_disk result;
+        for (const auto &[name, file] : m_names)
+            result.m_names[name] = std::make_shared<file_content>(*file);
+        result.m_durableNames = result.m_names;
+        return result;
     }
 
     // Inverts one bit of a file.
@@ -92,8 +105,8 @@
         return result;
     }
 
-    // Every write and sync fails from now on.
-    bool failing = false;
+    // Every change fails after this many further ones.
+    std::optional<std::size_t> failAfter;
     std::size_t syncs = 0;
 
 private:
@@ -103,10 +116,25 @@
         std::string synced;
     };
 
-    void refuseIfFailing() const
+    [[nodiscard]] bool refuses()
+    {
+        if (!failAfter)
+            return false;
+        if (*failAfter == 0)
+            return true;
+        --*failAfter;
+        return false;
+    }
+
+    [[noreturn]] static void refuse()
+    {
+        throw error(result_code::disk_failed, "the fake disk refuses to write");
+    }
+
+    void refuseIfFailing()
     {
-        if (failing)
-            throw error(result_code::disk_failed, "the fake disk refuses to write");
+        if (refuses())
+            refuse();
     }
 
     std::map<std::string, std::shared_ptr<file_content>> m_names;
