--- a/bench/control_benchmark.cpp
+++ b/bench/control_benchmark.cpp
@@ -139,8 +139,8 @@
     const auto entries = static_cast<std::size_t>(run.range(1));
     control_state state = makeFleet(static_cast<std::size_t>(run.range(0)), entries);
     fleet_update update;
-    update.limits
-        = planShares(state.currentConfiguration(), state.fleet(), makeDemand(entries, 0), start);
+    update.limits =
+        planShares(state.currentConfiguration(), state.fleet(), makeDemand(entries, 0), start);
     state.apply({start, update});
     const auto moved = makeDemand(entries, 1);
     std::size_t changes = 0;
@@ -148,7 +148,11 @@
         changes = planShares(state.currentConfiguration(), state.fleet(), moved, start).size();
     run.counters["changedLimits"] = static_cast<double>(changes);
 }
-BENCHMARK(planMovedDemand)->Args({44, 7})->Args({440, 70})->Args({2300, 100})->Unit(benchmark::kMillisecond);
+BENCHMARK(planMovedDemand)
+    ->Args({44, 7})
+    ->Args({440, 70})
+    ->Args({2300, 100})
+    ->Unit(benchmark::kMillisecond);
 
 void encodeSnapshot(benchmark::State &run)
 {
@@ -185,7 +189,11 @@
     for (auto each : run)
         benchmark::DoNotOptimize(table.sync(request, state, moment));
 }
-BENCHMARK(handleSync)->Args({44, 7})->Args({440, 70})->Args({2300, 4400})->Unit(benchmark::kMicrosecond);
+BENCHMARK(handleSync)
+    ->Args({44, 7})
+    ->Args({440, 70})
+    ->Args({2300, 4400})
+    ->Unit(benchmark::kMicrosecond);
 
 // The comparison of soft state and replicated state that runs every 50 ms.
 void collectFleet(benchmark::State &run)
--- a/include/kingcuptiller/control/control_core.h
+++ b/include/kingcuptiller/control/control_core.h
@@ -115,6 +115,7 @@
     change_command review(const change_request &request, lease_moment moment) const;
     void answerClaims(const command_result &result, std::vector<claim_answer> &answers) const;
     void updateFleet(lease_moment moment);
+    static void limitSize(fleet_update &update);
     void answerChangesInForce(instant now);
     void dropOverdue(instant now);
     void failAll();
--- a/include/kingcuptiller/control/lease_table.h
+++ b/include/kingcuptiller/control/lease_table.h
@@ -53,7 +53,9 @@
     void stopLeading();
 
     // Takes in a sync and answers it. An entry that is not registered, that was replaced or that is
-    // being retired gets the lease 0; the first is registered by the next `collect`.
+    // being retired gets the lease 0; the first is registered by the next `collect`. Throws `error`
+    // with `message_malformed` for identifiers that no command can hold, and ignores announcements
+    // that have some.
     entry_sync_response sync(const entry_sync_request &request, const control_state &state,
                              lease_moment moment);
 
--- a/include/kingcuptiller/control/request_ledger.h
+++ b/include/kingcuptiller/control/request_ledger.h
@@ -2,6 +2,8 @@
 
 #include "kingcuptiller/control/command.h"
 
+#include <json/forwards.h>
+
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -9,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -74,9 +77,9 @@
     [[nodiscard]] std::size_t tombstones() const { return m_tombstones.size(); }
 
     // Text of the whole ledger, one JSON array a line, so that neither writing nor reading it
-    // builds a tree of the whole. `readLine` throws `error` with `message_malformed`.
+    // builds a tree of the whole. `readLines` throws `error` with `message_malformed`.
     void writeLines(std::string &out) const;
-    void readLine(const std::string &line);
+    void readLines(std::string_view text);
 
 private:
     struct tombstone
@@ -91,6 +94,7 @@
         attempt_id attempt;
     };
 
+    void readLine(const Json::Value &line);
     std::optional<result_code> refusalByTime(const claim &request, wall_time now) const;
     claim_result answerKnown(const ledger_record &record, const claim &request,
                              wall_time now) const;
--- a/src/control/control_core.cpp
+++ b/src/control/control_core.cpp
@@ -331,6 +331,25 @@
         each.done(each.answer);
 }
 
+void control_core::limitSize(fleet_update &update)
+{
+    // A command must fit into one message between control hosts. What is left out is found again by
+    // the next comparison.
+    constexpr std::size_t most = 300;
+    constexpr std::size_t mostConfirmations = 30;
+    const auto limit = [](auto &items, std::size_t number) {
+        if (items.size() > number)
+            items.resize(number);
+    };
+    limit(update.joined, most);
+    limit(update.states, most);
+    limit(update.retired, most);
+    limit(update.upstreams, most);
+    limit(update.removed, most);
+    limit(update.confirmed, mostConfirmations);
+    limit(update.limits, 4 * most);
+}
+
 void control_core::updateFleet(lease_moment moment)
 {
     if (m_fleetUpdateInFlight || moment.now < m_nextCollect)
@@ -344,6 +363,7 @@
     }
     if (update.empty())
         return;
+    limitSize(update);
     for (const auto &each : update.retired)
         m_history.forget(each);
     m_fleetUpdateInFlight = propose(std::move(update), moment, [this](const command_result *) {
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -70,11 +70,8 @@
     control_state state;
     internal::readStateDocument(text.substr(0, end), state.m_time, state.m_configuration,
                                 state.m_fleet);
-    for (std::size_t start = end + 1; start < text.size();) {
-        const std::size_t lineEnd = std::min(text.find('\n', start), text.size());
-        state.m_ledger.readLine(text.substr(start, lineEnd - start));
-        start = lineEnd + 1;
-    }
+    if (end < text.size())
+        state.m_ledger.readLines(std::string_view(text).substr(end + 1));
     return state;
 }
 
--- a/src/control/lease_table.cpp
+++ b/src/control/lease_table.cpp
@@ -1,6 +1,7 @@
 #include "kingcuptiller/control/lease_table.h"
 
 #include "kingcuptiller/control/share_planner.h"
+#include "kingcuptiller/values/error.h"
 
 #include <algorithm>
 
@@ -13,6 +14,35 @@
     return {identity.host, identity.incarnation};
 }
 
+// Identifiers become a part of commands, which must be valid UTF-8, and of log lines.
+bool isPlain(const std::string &text)
+{
+    constexpr std::size_t longest = 128;
+    return !text.empty() && text.size() <= longest
+        && std::all_of(text.begin(), text.end(),
+                       [](char each) { return each > ' ' && each < 127; });
+}
+
+// Above any real upstream; the cost of a plan grows with the slots.
+constexpr std::uint32_t mostSlots = 10'000;
+
+bool isValid(const upstream_announcement &announcement)
+{
+    return isPlain(announcement.id.text()) && isPlain(announcement.incarnation.text())
+        && isPlain(announcement.address.text()) && isPlain(announcement.region.text())
+        && isPlain(announcement.zone.text()) && isPlain(announcement.workClass.text())
+        && announcement.slots <= mostSlots;
+}
+
+void checkEntry(const entry_identity &entry)
+{
+    if (!isPlain(entry.host.text()) || !isPlain(entry.incarnation.text())
+        || !isPlain(entry.address.text()) || !isPlain(entry.region.text())
+        || !isPlain(entry.zone.text()))
+        throw error(result_code::message_malformed,
+                    "the entry's identifiers must have 1 to 128 visible ASCII characters");
+}
+
 milliseconds toMilliseconds(microseconds duration)
 {
     return std::max(milliseconds{0}, std::chrono::duration_cast<milliseconds>(duration));
@@ -51,6 +81,7 @@
                                       lease_moment moment)
 {
     const instant now = moment.now;
+    checkEntry(request.entry);
     const entry_key key = keyOf(request.entry);
     takeAnnouncements(request, state, now);
     entry_sync_response response;
@@ -94,7 +125,8 @@
         const auto known = m_upstreams.find(each.id);
         const bool withdrawn = known != m_upstreams.end() && known->second.withdrawn
             && known->second.announcement.incarnation == each.incarnation;
-        if (late || withdrawn || state.currentConfiguration().find(each.workClass) == nullptr)
+        if (!isValid(each) || late || withdrawn
+            || state.currentConfiguration().find(each.workClass) == nullptr)
             continue;
         m_upstreams[each.id] = {each, now, std::nullopt};
     }
--- a/src/control/ledger_lines.cpp
+++ b/src/control/ledger_lines.cpp
@@ -4,12 +4,16 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace kingcuptiller {
 
 namespace {
 
 using namespace internal;
 
+constexpr std::size_t batchBytes = 65'536;
+// A record with the largest answer, and some space for its texts.
 constexpr std::size_t maximumLineBytes = std::size_t{1} << 20U;
 // Fields of one record line: kind, key, class, issue time, body hash, state, attempt, host,
 // incarnation, deadline and, for a completed record, its answer.
@@ -101,10 +105,25 @@
     }
 }
 
-void request_ledger::readLine(const std::string &text)
+void request_ledger::readLines(std::string_view text)
+{
+    // Making a parser costs more than parsing one line, so one parser reads some hundred lines.
+    while (!text.empty()) {
+        std::string batch = "{\"lines\":[";
+        while (!text.empty() && batch.size() < batchBytes) {
+            const std::size_t end = std::min(text.find('\n'), text.size());
+            batch.append(text.substr(0, end)).append(",");
+            text.remove_prefix(std::min(end + 1, text.size()));
+        }
+        batch.back() = ']';
+        const Json::Value document = parseJson(batch + '}', batchBytes + maximumLineBytes);
+        for (const Json::Value &each : member(document, "lines"))
+            readLine(each);
+    }
+}
+
+void request_ledger::readLine(const Json::Value &line)
 {
-    const Json::Value wrapped = parseJson("{\"line\":" + text + '}', maximumLineBytes);
-    const Json::Value &line = member(wrapped, "line");
     if (!line.isArray() || line.size() < 3)
         throwField("line", "is not a line of the ledger");
     const std::string kind = toText(line[0], "kind");
