Never tell 'not run' of a key whose earlier sending may have run

The client's HTTP library gave up its connection after 5 s and sent the same request again by itself. Weighed: asking the ledger before each refusal. A flood of non-idempotent work would then load control with two commits for each refusal. A repetition through another entry is the client's own and its first outcome stays open to it. Before: the new test told entry_without_lease for a key that was claimed, sent or run (run with the check disabled).

--- a/include/kingcuptiller/entry/work_coordinator.h
+++ b/include/kingcuptiller/entry/work_coordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kingcuptiller/entry/entry_snapshot.h"
+#include "kingcuptiller/entry/key_memory.h"
 #include "kingcuptiller/entry/work_message.h"
 #include "kingcuptiller/protocol/messages.h"
 #include "kingcuptiller/report/service_recorder.h"
@@ -69,7 +70,8 @@
 //
 // Non-idempotent requests: a claim is granted before anything is sent, each attempt is sent at most
 // once over a connection of its own, and a client is told "not run" after a claim only when the
-// attempt's release is committed. Every open end is told as unknown.
+// attempt's release is committed. Every open end is told as unknown, and so is a refusal of a key
+// that this entry carried before without proof that it was not run.
 class work_coordinator : public std::enable_shared_from_this<work_coordinator>
 {
 public:
@@ -147,6 +149,7 @@
     mutable std::mutex m_mutex;
     entry_dispatcher m_dispatcher;
     service_recorder m_recorder;
+    key_memory m_keys;
     std::map<ticket_id, std::unique_ptr<ticket>> m_tickets;
     std::multimap<instant, timer> m_timers;
     std::set<region_name> m_origins;
--- a/src/entry/work_claims.cpp
+++ b/src/entry/work_claims.cpp
@@ -110,6 +110,7 @@
             refusal = result_code::deadline_unreachable;
         if (!refusal) {
             claimed.startedAt = m_latest;
+            m_keys.sent(each->key);
             return;
         }
         claimed.used = false;
@@ -142,8 +143,10 @@
         });
         return;
     }
-    if (provesNotRun(verdict))
+    if (provesNotRun(verdict)) {
+        m_keys.provedNotRun(each.key);
         return release(each, ended, codeOf(verdict), true, actions, now);
+    }
     if (!each.answered) {
         m_dispatcher.abandon(each.id, now);
         answer(each,
--- a/src/entry/work_coordinator.cpp
+++ b/src/entry/work_coordinator.cpp
@@ -34,6 +34,11 @@
 {
     const auto snapshot = m_hooks.snapshot();
     const auto refuseAtOnce = [&](result_code code) {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (isNotRun(code) && m_keys.mayRun(request.key, 0))
+                code = result_code::outcome_unknown;
+        }
         reply({.code = code, .key = request.key, .upstream = {}, .answer = {}, .detail = {}});
     };
     if (const auto refusal = snapshot->refusal(m_hooks.now(), m_settings.lookupLifetime))
@@ -56,6 +61,8 @@
             + std::min(request.deadline.value_or(promised->maximumDeadline),
                        promised->maximumDeadline);
         each.reply = std::move(reply);
+        if (!promised->idempotent)
+            m_keys.open(each.key);
         m_timers.emplace(each.deadline, timer{each.id, timer_kind::deadline});
         const request_facts facts{.ticket = each.id,
                                   .workClass = promised->name,
@@ -278,6 +285,13 @@
 {
     if (std::exchange(each.answered, true))
         return;
+    if (!each.promised.idempotent) {
+        // Another request with this key, such as one that the client's HTTP library sent again, may
+        // have been run. One that is still open counts, because it may run yet.
+        if (isNotRun(answer.code) && m_keys.mayRun(each.key, 1))
+            answer.code = result_code::outcome_unknown;
+        m_keys.close(each.key, now);
+    }
     m_recorder.record(each.promised.name, each.origin, answer.code, now - each.arrivedAt,
                       each.promised.target);
     actions.emplace_back([reply = std::move(each.reply), answer = std::move(answer)]() mutable {
--- a/tests/entry/once_only_test.cpp
+++ b/tests/entry/once_only_test.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(recordedAnswerReachesTheClient);
     CPPUNIT_TEST(keyAndIssueTimeAreNeeded);
     CPPUNIT_TEST(repeatedAnswerIsIgnored);
+    CPPUNIT_TEST(refusalOfAKeyThatMayHaveRunIsNotToldAsNotRun);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -304,6 +305,43 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.answers.size());
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), harness.settled(settlement_kind::completed).size());
     }
+
+    // Guards against "not run" for a request that was sent again, as HTTP client libraries do by
+    // themselves, and is refused before the ledger is asked. Found by a fault run: the entry was
+    // stopped for 5 s, the client's library repeated the request, and the repetition was refused.
+    void refusalOfAKeyThatMayHaveRunIsNotToldAsNotRun()
+    {
+        struct key_case
+        {
+            std::string name;
+            bool granted;
+            std::optional<std::string> upstreamSays;
+            std::string expected;
+        };
+        const std::vector<key_case> cases = {
+            {"claim open", false, std::nullopt, "outcome_unknown"},
+            {"sent, no answer yet", true, std::nullopt, "outcome_unknown"},
+            {"ran", true, "ran", "outcome_unknown"},
+        };
+        for (const key_case &each : cases) {
+            coordinator_harness harness;
+            harness.request("posting", "key-1");
+            if (each.granted)
+                harness.grant(0);
+            if (each.upstreamSays)
+                harness.finish(0, harness.answerTo(0, *each.upstreamSays));
+            const std::size_t before = harness.answers.size();
+            // Past the lease everything is refused.
+            harness.freeze(milliseconds(2600));
+            harness.request("posting", "key-1");
+            harness.request("posting", "key-2");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.name, before + 2, harness.answers.size());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.name, each.expected,
+                                         std::string(name(harness.answers[before].code)));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.name, std::string("entry_without_lease"),
+                                         std::string(name(harness.answers[before + 1].code)));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(once_only_test);
