--- a/include/kingcuptiller/transport/http_server.h
+++ b/include/kingcuptiller/transport/http_server.h
@@ -36,8 +36,8 @@
         std::uint16_t port = 0;
         std::size_t maximumBody = std::size_t(1024) * 1024;
         // PEM files; TLS is on when both are given.
-        std::string certificateFile;
-        std::string keyFile;
+        std::string certificateFile{};
+        std::string keyFile{};
     };
 
     // Listens at once. Throws `error` with port_unavailable, or with settings_invalid when the TLS
