--- a/include/kingcuptiller/cli/control_caller.h
+++ b/include/kingcuptiller/cli/control_caller.h
@@ -38,7 +38,7 @@
 
     // Throws `error` with change_outcome_unknown when the change may have been sent and no answer
     // came; the same change id can be submitted again later. A refused change is returned, not
-    // thrown.
+    // thrown. Waits until the change is in force everywhere, at most maximumRounds answers long.
     [[nodiscard]] change_answer submit(const change_request &change);
 
 private:
--- a/src/cli/control_caller.cpp
+++ b/src/cli/control_caller.cpp
@@ -39,7 +39,14 @@
 {
     m_uncertain = false;
     try {
-        return fromJson<change_answer>(call("submit_change", toJson(change)));
+        change_answer answer = fromJson<change_answer>(call("submit_change", toJson(change)));
+        // Control answers so when its own time limit is over; asking again waits further.
+        for (std::size_t round = 0;
+             answer.code == result_code::change_not_in_force && round < maximumRounds; ++round) {
+            m_pause(pauseBetweenRounds);
+            answer = fromJson<change_answer>(call("submit_change", toJson(change)));
+        }
+        return answer;
     } catch (const error &refusal) {
         if (isPassing(refusal.code()) && m_uncertain)
             throw error(result_code::change_outcome_unknown, refusal.what());
