Drive three control loops in one thread under test and name the demand in a refused stop

The loop got a `step` that does one round without waiting, so that core, replica and disk are tested together without threads or real time.

The refusal of a stop said that a fifth of the needed slots was for uneven arrivals, which is a sixth; it now gives the demand and the need.

--- a/include/kingcuptiller/control/control_loop.h
+++ b/include/kingcuptiller/control/control_loop.h
@@ -53,6 +53,10 @@
     // The thread's body. Returns when a stop is requested; throws `error` with `disk_failed`.
     void run(const std::stop_token &stop);
 
+    // One round of the thread's work without waiting, for tests that drive several loops in one
+    // thread. Needs `open`.
+    void step();
+
     // From any thread.
     void receive(peer_message message);
 
--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -77,6 +77,16 @@
     m_session = {};
 }
 
+void control_loop::step()
+{
+    std::deque<task> tasks;
+    {
+        const std::lock_guard lock(m_mutex);
+        tasks.swap(m_tasks);
+    }
+    round(tasks);
+}
+
 bool control_loop::enqueue(task work)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/control/stop_review.cpp
+++ b/src/control/stop_review.cpp
@@ -86,8 +86,9 @@
         return {};
     return {result_code::stop_breaks_target,
             fmt::format("the stops {} would leave class {} with {} of {} slots; its present "
-                        "demand needs {:.1f}, one fifth of it for uneven arrivals",
-                        activeStops(next, moment), name.text(), left, total, needed)};
+                        "demand of {:.1f} needs {:.1f}, because requests arrive unevenly",
+                        activeStops(next, moment), name.text(), left, total, needed / headroom,
+                        needed)};
 }
 
 review_result reviewEntries(const configuration &next, const fleet_registry &fleet,
