--- a/src/steering/dispatcher_core.cpp
+++ b/src/steering/dispatcher_core.cpp
@@ -13,10 +13,13 @@
 // How long a class without any slot share waits for one: a sync and a planning round.
 constexpr microseconds shareWait{500'000};
 
-// Requests may wait for this part of the time that the target leaves beside the service. The rest
-// is for the ways that the entry does not see. A longer queue would make every request of a class
-// in overload late; a bounded one keeps those that are accepted in time.
-constexpr int queueShareOfTarget = 2;
+// Requests may wait for a part of the time that the target leaves beside the service; the rest is
+// for the ways that the entry does not see. A queue that has stood for longer than a burst is a
+// sign of overload. Then a long wait serves nobody: it makes all requests late, and a short one
+// keeps those that are accepted in time.
+constexpr double burstShareOfTarget = 0.75;
+constexpr double standingShareOfTarget = 0.4;
+constexpr std::chrono::seconds longestBurst{1};
 
 // While all deadlines of a class look unreachable, one request in this time is sent all the same.
 // Without it, an estimate that was once too high would never be measured again.
@@ -162,11 +165,14 @@
     return of.meter.latency() * (ahead + 1) / of.limitSum;
 }
 
-bool dispatcher_core::worthWaiting(const class_state &of, microseconds wait)
+bool dispatcher_core::worthWaiting(const class_state &of, microseconds wait, instant now)
 {
     const microseconds target = of.settings.target.latency;
     const microseconds spare = std::max(target - of.meter.latency(), target / 10);
-    return of.limitSum == 0 || wait <= spare / queueShareOfTarget;
+    const bool standing = !of.queue.empty() && now - of.queueSince > longestBurst;
+    const double part = standing ? standingShareOfTarget : burstShareOfTarget;
+    return of.limitSum == 0
+        || static_cast<double>(wait.count()) <= part * static_cast<double>(spare.count());
 }
 
 decision dispatcher_core::enqueue(ticket_state &ticket, instant now)
@@ -181,8 +187,10 @@
                                        : result_code::deadline_unreachable,
                       now);
     }
-    if (!worthWaiting(of, wait))
+    if (!worthWaiting(of, wait, now))
         return refuse(ticket, result_code::queue_full, now);
+    if (of.queue.empty())
+        of.queueSince = now;
     of.queue.insert(ticket.queueItem());
     ticket.queued = true;
     of.meter.hold(now);
--- a/src/steering/dispatcher_core.h
+++ b/src/steering/dispatcher_core.h
@@ -28,6 +28,8 @@
     // False once the class is gone from the configuration, or before it is first configured.
     bool active = false;
     class_queue queue;
+    // When the queue last became non-empty.
+    instant queueSince;
     retry_budget retries{retryShare};
     retry_budget hedges{hedgeShare};
     class_meter meter;
@@ -90,7 +92,7 @@
     decision decideFirst(ticket_state &ticket, instant now);
     decision enqueue(ticket_state &ticket, instant now);
     // Whether so long a wait leaves hope for an answer within the class's target.
-    [[nodiscard]] static bool worthWaiting(const class_state &of, microseconds wait);
+    [[nodiscard]] static bool worthWaiting(const class_state &of, microseconds wait, instant now);
     bool deadlineReachable(class_state &of, const ticket_state &ticket, microseconds expected,
                            instant now);
     [[nodiscard]] microseconds expectedWait(const class_state &of, std::size_t ahead) const;
--- a/tests/steering/entry_dispatcher_test.cpp
+++ b/tests/steering/entry_dispatcher_test.cpp
@@ -109,7 +109,8 @@
             world.pass(milliseconds(5));
             decision made = world.submit(lookups);
             const ticket_id ticket = world.lastTicket;
-            while (isForward(made)) {
+            // Bounded, so that a missing budget fails this test and does not hang it.
+            for (int sending = 0; isForward(made) && sending < 20; ++sending) {
                 ++attempts;
                 world.finish(0, attempt_outcome::connect_refused, milliseconds(1));
                 made = world.dispatcher.retry(ticket, world.now);
--- a/tests/steering/shift_limiter_test.cpp
+++ b/tests/steering/shift_limiter_test.cpp
@@ -147,8 +147,11 @@
                                  *rc::gen::inRange<std::uint64_t>(1, 500)});
                 entry.observer.baseline(flows.back());
             }
-            entry.limiter.setBaseline(flows);
-            // A second answer with the same flows must not add to the first.
+            // A later answer replaces what an earlier one said and does not add to it.
+            std::vector<counted_flow> earlier = flows;
+            for (counted_flow &each : earlier)
+                each.destination = (each.destination + 1) % regionCount;
+            entry.limiter.setBaseline(earlier);
             entry.limiter.setBaseline(flows);
             runIntervals({&entry}, 4);
         }));
