--- a/src/report/burn_page.cpp
+++ b/src/report/burn_page.cpp
@@ -178,11 +178,17 @@
     return result;
 }
 
+// Routine events stand in the table only; drawn, they would hide the repairs and losses.
+bool isRoutine(const fleet_event &event)
+{
+    return event.kind.ends_with("_joined") || event.kind.starts_with("configuration_");
+}
+
 std::string plotEvents(const std::vector<fleet_event> &events, const plot_scale &scale)
 {
     std::string result;
     for (const fleet_event &each : events) {
-        if (!scale.covers(each.time))
+        if (isRoutine(each) || !scale.covers(each.time))
             continue;
         const double x = scale.x(each.time);
         result += fmt::format("<line x1='{0:.1f}' x2='{0:.1f}' y1='{1}' y2='{2}' stroke='#7b4bb3' "
@@ -213,7 +219,10 @@
         return result + "<p>None were recorded.</p>\n";
     result += "<table><tr><th class=text>time</th><th class=text>event</th>"
               "<th class=text>detail</th></tr>\n";
-    for (const fleet_event &each : report.events)
+    std::vector<fleet_event> newestFirst = report.events;
+    std::stable_sort(newestFirst.begin(), newestFirst.end(),
+                     [](const auto &left, const auto &right) { return left.time > right.time; });
+    for (const fleet_event &each : newestFirst)
         result += fmt::format("<tr><td class=text>{}</td><td class=text>{}</td>"
                               "<td class=text>{}</td></tr>\n",
                               dateText(each.time), escaped(each.kind), escaped(each.detail));
