--- a/tests/control/control_loop_test.cpp
+++ b/tests/control/control_loop_test.cpp
@@ -194,7 +194,7 @@
     {
         loop_fleet fleet;
         const std::size_t leader = fleet.leader();
-        fleet.files(leader).failing = true;
+        fleet.files(leader).failAfter = 0;
         CPPUNIT_ASSERT_THROW(fleet.submit(leader, makeChange("a", 0, {makeClass("x")})), error);
         std::mt19937_64 random(1); // NOLINT(bugprone-random-generator-seed): see above
         fleet.files(leader).crash(random);
