--- a/tests/consensus/fake_fleet.cpp
+++ b/tests/consensus/fake_fleet.cpp
@@ -91,6 +91,21 @@
     host.files.flipBit(names[m_random() % names.size()], m_random());
 }
 
+void fake_fleet::replaceDisk(std::size_t position, const fake_disk &files)
+{
+    kill(position);
+    m_hosts[position].files = files;
+    m_hosts[position].lostIncarnations.clear();
+    start(position);
+}
+
+void fake_fleet::failDisk(std::size_t position)
+{
+    // The next write fails in the middle or at its sync.
+    if (isRunning(position))
+        m_hosts[position].files.failAfter = m_random() % 2;
+}
+
 void fake_fleet::freeze(std::size_t position, milliseconds duration)
 {
     m_hosts[position].frozenUntil = m_elapsed + duration;
