Hand bodies to cpprest as bytes in the stand-ins and the command line

Cause: UBSan ended stand-in-tests in the sanitizer build: 'member call on address which does not point to an object of type basic_streambuf' at astreambuf.h:891. cpprest's body functions for std::string cast a stream of char to one of unsigned char. Ruled out: a fault of the test; the stack shows http_request::set_body. Change: toBytes and toText in stand_in/byte_body.h, extract_vector instead of extract_utf8string.

--- a/daemons/kingcuptiller.cpp
+++ b/daemons/kingcuptiller.cpp
@@ -39,7 +39,8 @@
             throw error(result_code::not_found,
                         fmt::format("{}{} answered with status {}", address.text(), path,
                                     response.status_code()));
-        return response.extract_utf8string(true).get();
+        const std::vector<unsigned char> bytes = response.extract_vector().get();
+        return {bytes.begin(), bytes.end()};
     } catch (const web::http::http_exception &fault) {
         throw error(result_code::peer_unreachable,
                     fmt::format("{}: {}", address.text(), fault.what()));
--- a/stand_in/announcer.cpp
+++ b/stand_in/announcer.cpp
@@ -2,6 +2,7 @@
 
 #include "kingcuptiller/protocol/codec.h"
 #include "kingcuptiller/telemetry/log.h"
+#include "stand_in/byte_body.h"
 
 #include <cpprest/http_client.h>
 #include <json/value.h>
@@ -43,8 +44,11 @@
         std::string reason;
         try {
             web::http::client::http_client client("http://" + entry, config);
-            const auto answer =
-                client.request(web::http::methods::POST, path, body, "application/json").get();
+            web::http::http_request message(web::http::methods::POST);
+            message.set_request_uri(path);
+            message.set_body(toBytes(body));
+            message.headers().set_content_type("application/json");
+            const auto answer = client.request(message).get();
             if (answer.status_code() / 100 == 2)
                 return true;
             reason = std::to_string(answer.status_code());
--- a/stand_in/entry_finder.cpp
+++ b/stand_in/entry_finder.cpp
@@ -3,6 +3,7 @@
 #include "kingcuptiller/protocol/codec.h"
 #include "kingcuptiller/telemetry/log.h"
 #include "kingcuptiller/values/error.h"
+#include "stand_in/byte_body.h"
 
 #include <cpprest/http_client.h>
 #include <fmt/format.h>
@@ -90,10 +91,10 @@
     for (const endpoint_address &candidate : candidates) {
         try {
             web::http::client::http_client client("http://" + candidate.text(), config);
-            const auto response = client.request(web::http::methods::GET, m_path).get();
+            auto response = client.request(web::http::methods::GET, m_path).get();
             if (response.status_code() != web::http::status_codes::OK)
                 continue;
-            entry_list_answer answer = parseEntryList(response.extract_utf8string(true).get());
+            entry_list_answer answer = parseEntryList(toText(response.extract_vector().get()));
             if (answer.entries.empty())
                 continue;
             const std::lock_guard lock(m_mutex);
--- a/stand_in/load_generator.cpp
+++ b/stand_in/load_generator.cpp
@@ -2,6 +2,7 @@
 
 #include "kingcuptiller/transport/system_clock.h"
 #include "kingcuptiller/values/error.h"
+#include "stand_in/byte_body.h"
 #include "stand_in/work_payload.h"
 
 #include <cpprest/http_client.h>
@@ -58,7 +59,7 @@
     answer.received = !answer.outcome.empty();
     answer.code = readCode(header(response, "Kct-Result-Code"));
     answer.ownKey = header(response, "Kct-Request-Key") == key.text();
-    answer.ownPayload = std::string(bytes.begin(), bytes.end()) == expected;
+    answer.ownPayload = toText(bytes) == expected;
     return answer;
 }
 
@@ -165,7 +166,7 @@
     message.headers().add("Kct-Issue-Time", std::to_string(request->issueMs));
     message.headers().add("Kct-Deadline-Ms", std::to_string(request->plan.deadline.count()));
     message.headers().add("Kct-Client-Region", m_options.region.text());
-    message.set_body(request->body, "application/octet-stream");
+    message.set_body(toBytes(request->body));
     // The client is kept until its answer has arrived.
     client->request(message)
         .then([client](const http_response &response) {
--- a/stand_in/stand_in_upstream.cpp
+++ b/stand_in/stand_in_upstream.cpp
@@ -1,6 +1,7 @@
 #include "stand_in/stand_in_upstream.h"
 
 #include "kingcuptiller/transport/system_clock.h"
+#include "stand_in/byte_body.h"
 #include "stand_in/work_payload.h"
 
 #include <fmt/format.h>
@@ -81,8 +82,7 @@
         http_request(message).extract_vector().then(
             [this, message](const pplx::task<std::vector<unsigned char>> &extracted) {
                 try {
-                    const std::vector<unsigned char> bytes = extracted.get();
-                    accept({message, std::string(bytes.begin(), bytes.end()),
+                    accept({message, toText(extracted.get()),
                             request_key(header(message, "Kct-Request-Key")),
                             attempt_id(header(message, "Kct-Attempt")), deadlineOf(message)});
                 } catch (const std::exception &) {
@@ -195,7 +195,7 @@
 void stand_in_upstream::run(const accepted_request &request)
 {
     http_response response = responseTo(request, status_codes::OK, "ran");
-    response.set_body(makeAnswerBody(request.body), "application/octet-stream");
+    response.set_body(toBytes(makeAnswerBody(request.body)));
     reply(request.message, response);
 }
 
--- a/tests/stand_in/stand_in_upstream_test.cpp
+++ b/tests/stand_in/stand_in_upstream_test.cpp
@@ -1,6 +1,7 @@
 #include "kingcuptiller/transport/free_port.h"
 #include "kingcuptiller/values/error.h"
 #include "stand_in/announcer.h"
+#include "stand_in/byte_body.h"
 #include "stand_in/entry_finder.h"
 #include "stand_in/load_generator.h"
 #include "stand_in/run_journal.h"
@@ -50,7 +51,7 @@
     web::http::http_request message(web::http::methods::POST);
     message.headers().add("Kct-Request-Key", key);
     message.headers().add("Kct-Attempt", "attempt-" + key);
-    message.set_body(makeRequestBody(request_key(key), 0, 100));
+    message.set_body(toBytes(makeRequestBody(request_key(key), 0, 100)));
     return client.request(message);
 }
 
@@ -98,7 +99,7 @@
                     continue;
                 ran.insert(key);
                 CPPUNIT_ASSERT_EQUAL(makeAnswerBody(makeRequestBody(request_key(key), 0, 100)),
-                                     response.extract_utf8string(true).get());
+                                     toText(response.extract_vector().get()));
             }
             upstream.leave();
             CPPUNIT_ASSERT_EQUAL(std::uint64_t{20}, upstream.tally().ran + upstream.tally().shed);
