Make the tests of the retry budget and of the standing queue fail without them

Cause: in trials with the mechanism disabled, a missing retry budget was not seen by retriesStayWithinTheirBudgetWhenEverythingFails once its loop was bounded (the unfinished attempts used up all slots first), and a missing bound for a standing queue was not seen by any test. Change: the first test ends each attempt; the second one asserts that requests wait for less than half of the target once the queue has stood for 1 s.

--- a/tests/steering/entry_dispatcher_test.cpp
+++ b/tests/steering/entry_dispatcher_test.cpp
@@ -110,9 +110,13 @@
             decision made = world.submit(lookups);
             const ticket_id ticket = world.lastTicket;
             // Bounded, so that a missing budget fails this test and does not hang it.
-            for (int sending = 0; isForward(made) && sending < 20; ++sending) {
+            for (int sending = 0; isForward(made); ++sending) {
                 ++attempts;
                 world.finish(0, attempt_outcome::connect_refused, milliseconds(1));
+                if (sending == 20) {
+                    world.dispatcher.abandon(ticket, world.now);
+                    break;
+                }
                 made = world.dispatcher.retry(ticket, world.now);
                 world.note(ticket, lookups, made);
             }
@@ -344,7 +348,8 @@
         CPPUNIT_ASSERT_MESSAGE(std::string(name(refusal(fifth))), isQueued(fifth));
     }
 
-    // Guards against a queue that makes every request of an overloaded class late.
+    // Guards against a queue that makes every request of an overloaded class late. Once the queue
+    // has stood for a second, requests wait for less than half of the target.
     void acceptedRequestsOfAnOverloadedClassAreInTime()
     {
         dispatcher_world world = busyWorld();
@@ -361,8 +366,8 @@
             if (step % 5 == 0) {
                 for (int answer = 0; answer < 2 && !world.open.empty(); ++answer) {
                     ++served;
-                    late +=
-                        world.now - sent[world.open.front().ticket.number()] > milliseconds(400);
+                    const milliseconds bound(step < 1500 ? 400 : 200);
+                    late += world.now - sent[world.open.front().ticket.number()] > bound;
                     world.finish(0, attempt_outcome::answered, milliseconds(20));
                 }
             }
