--- a/tests/entry/input_test.cpp
+++ b/tests/entry/input_test.cpp
@@ -98,11 +98,12 @@
             {"lookup", std::string(65, 'x')},
             {"lookup", std::string(maximumAnnouncementBytes, 'x')},
         };
-        for (const auto &[part, by] : cases)
+        for (const auto &each : cases) {
+            const std::string body = replaced(validAnnouncement, each.first, each.second);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(
-                part + " -> " + by, std::string("announcement_malformed"), refusalOf([&] {
-                    static_cast<void>(parseAnnouncement(replaced(validAnnouncement, part, by)));
-                }));
+                body, std::string("announcement_malformed"),
+                refusalOf([&body] { static_cast<void>(parseAnnouncement(body)); }));
+        }
     }
 
     // Guards against input that ends a traffic thread with another exception.
--- a/tests/entry/ledger_client_test.cpp
+++ b/tests/entry/ledger_client_test.cpp
@@ -91,10 +91,8 @@
         batch_queue<int, bool> queue;
         for (const std::size_t bytes : {600, 300, 300, 500, 2000, 1})
             queue.push({.item = 0, .giveUpAt = {}, .bytes = bytes, .done = {}});
-        std::vector<std::size_t> sizes;
-        for (int i = 0; i < 4; ++i)
-            sizes.push_back(queue.take({}, 10, 1000).size());
-        CPPUNIT_ASSERT(sizes == std::vector<std::size_t>({2, 2, 1, 1}));
+        for (const std::size_t expected : {2, 2, 1, 1})
+            CPPUNIT_ASSERT_EQUAL(expected, queue.take({}, 10, 1000).size());
     }
 
 private:
