Count refused requests in the baseline of the shift cap; use the settings

Cause: x was the share of forwarded requests. After the loss of a region the cap lets 20% through in the first second; these were then all that was forwarded, so x of the new region was 1 and the whole class moved in the second second: a shift of 80% of the traffic. Ruled out: the share of all arrivals; after a flood with many refusals a class could then not even go home. Spreading the refused over all former regions; the new region then gets a part of what was refused for the old one (720 in place of 600 of 1,000 in the third second). Also: shift_cap_percent and warm_up were read and not used; they are now. Bodies go to cpprest as bytes, since its functions for std::string have undefined behaviour that UBSan reports.

--- a/include/kingcuptiller/steering/entry_dispatcher.h
+++ b/include/kingcuptiller/steering/entry_dispatcher.h
@@ -28,6 +28,10 @@
     std::uint32_t queueLimit = 256;
     // Bytes a second on the link between two regions, in each direction (4,000 Mbit/s).
     double linkBytesPerSecond = 500e6;
+    // The most that may move to other regions in a second, as a share of the arrivals.
+    double shiftCap = 0.2;
+    // How long a new upstream takes to get its full limit.
+    microseconds warmUp = std::chrono::seconds(10);
     // How upstreams are chosen; empty means leastExpectedLatency().
     choice_policy policy;
     // Seed of the engine that the policy and the sampling draw from.
--- a/include/kingcuptiller/steering/shift_limiter.h
+++ b/include/kingcuptiller/steering/shift_limiter.h
@@ -30,23 +30,30 @@
 
 // Keeps the traffic shift of each origin region below its cap (I1). For a source (c,o), n(c,o,d) is
 // the number of requests sent to d in the present interval of 1 s, T(c,o) the number of requests
-// decided on in it, and x(c,o,d) the share of d in the last interval that sent any. Then
+// decided on in it, and x(c,o,d) the share of d in the last interval that sent any, in which
+// refused requests count where the class went before and got less than its share. Then
 //
 //     moved(o) = sum over c, d of max(0, n(c,o,d) - x(c,o,d) * T(c,o))
 //
-// is at most 20% of the sum of T(c,o) over c, or one request where that is more, so that work which
-// arrives rarely can move too. A request that would raise moved(o) above the part that its rank may
-// use is not allowed. Since T only grows within an interval, moved(o) only falls between two
-// requests, and a bound that holds at each request holds for the whole interval.
+// is at most the cap (20%) of the sum of T(c,o) over c, or one request where that is more, so that
+// work which arrives rarely can move too. A request that would raise moved(o) above the part that
+// its rank may use is not allowed. Since T only grows within an interval, moved(o) only falls
+// between two requests, and a bound that holds at each request holds for the whole interval.
 //
 // A request counts in T once, in the interval in which it is sent or refused, and in n once for
 // each region that it is sent to.
 class shift_limiter
 {
 public:
-    static constexpr double capShare = 0.2;
+    static constexpr double defaultCapShare = 0.2;
     static constexpr std::chrono::seconds interval{1};
 
+    // `capShare` is the cap as a share of the arrivals, above 0 and at most 1.
+    explicit shift_limiter(double capShare = defaultCapShare)
+        : m_capShare(capShare)
+    {
+    }
+
     // Whether one more request may go to `destination`. `counted` says that the request is already
     // part of T (a retry or a hedge).
     [[nodiscard]] bool mayForward(const flow_source &source, region_index destination,
@@ -62,7 +69,7 @@
     // here so far. A source without a baseline starts with x(c,o,o) = 1.
     void setBaseline(const std::vector<counted_flow> &flows);
 
-    // The flows that x is computed from: the last whole interval that sent any.
+    // The flows that x is computed from: the last whole interval that sent any, rounded.
     [[nodiscard]] std::vector<counted_flow> flows(instant now);
 
     // moved(o) and the sum of T of the present interval.
@@ -75,9 +82,13 @@
         std::uint64_t arrivals = 0;
         // By destination.
         std::vector<std::uint64_t> sent;
-        std::vector<std::uint64_t> sentBefore;
-        std::uint64_t totalBefore = 0;
-        // True once `sentBefore` holds what this limiter forwarded itself.
+        // The last interval that sent any: what was sent, with the refused requests added where the
+        // class went before.
+        std::vector<double> before;
+        double totalBefore = 0;
+        // Working space of closeInterval.
+        std::vector<double> next;
+        // True once `before` comes from what this limiter forwarded itself.
         bool ownBaseline = false;
         // True once a request was counted here.
         bool used = false;
@@ -90,12 +101,16 @@
     };
 
     origin_state &current(region_index origin, instant now);
+    // How much less than its share a region got in the present interval.
+    static double shortfall(const row &of, region_index destination);
+    static void closeInterval(row &of);
     row &rowOf(origin_state &state, class_index workClass, region_index origin);
     static double share(const row &of, region_index destination);
     static double excess(const row &of, region_index destination, double extraArrivals,
                          double extraSent);
     static double movedBy(const row &of, double extraArrivals);
 
+    double m_capShare;
     std::vector<origin_state> m_origins;
 };
 
--- a/include/kingcuptiller/steering/upstream_health.h
+++ b/include/kingcuptiller/steering/upstream_health.h
@@ -8,10 +8,14 @@
 
 namespace kingcuptiller {
 
+// How long a new upstream takes to get its full limit, unless the settings say otherwise.
+inline constexpr microseconds defaultWarmUp = std::chrono::seconds(10);
+
 // How many of an upstream's slots an entry may use while the upstream warms up: a share of the
 // limit that grows linearly over 10 s, and at least one. Cold caches make early requests slow, and
 // a full load of them would keep the upstream slow for longer.
-[[nodiscard]] std::uint32_t warmLimit(std::uint32_t limit, microseconds age);
+[[nodiscard]] std::uint32_t warmLimit(std::uint32_t limit, microseconds age,
+                                      microseconds warmUp = defaultWarmUp);
 
 // What an entry knows about one upstream: how fast it answers and whether it fails. Own
 // observations take precedence over the upstream's reports, which may be wrong by a large factor:
--- a/include/kingcuptiller/transport/http_message.h
+++ b/include/kingcuptiller/transport/http_message.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 // HTTP messages as values, without the HTTP library.
 
@@ -37,6 +38,18 @@
     return found == headers.end() ? std::string() : found->second;
 }
 
+// A body in the form in which cpprest takes bytes as they are. Its functions for std::string
+// convert the text and have undefined behaviour that UBSan reports.
+[[nodiscard]] inline std::vector<unsigned char> toBytes(const std::string &body)
+{
+    return {body.begin(), body.end()};
+}
+
+[[nodiscard]] inline std::string toText(const std::vector<unsigned char> &bytes)
+{
+    return {bytes.begin(), bytes.end()};
+}
+
 // `path` is percent-encoded as it was received; `query` is what follows its question mark.
 struct http_request
 {
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -46,6 +46,9 @@
     result.zone = settings.zone;
     result.concurrency = settings.concurrency;
     result.queueLimit = settings.queueLength;
+    constexpr double percent = 0.01;
+    result.shiftCap = settings.shiftCapPercent * percent;
+    result.warmUp = settings.warmUp;
     result.linkBytesPerSecond = settings.linkMegabits * 1e6 / 8;
     result.seed = std::random_device()();
     return result;
--- a/src/steering/shift_limiter.cpp
+++ b/src/steering/shift_limiter.cpp
@@ -3,6 +3,7 @@
 #include "kingcuptiller/steering/rank_share.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace kingcuptiller {
@@ -34,18 +35,41 @@
     if (state.interval == present)
         return state;
     state.interval = present;
-    for (row &each : state.rows) {
-        const std::uint64_t total =
-            std::accumulate(each.sent.begin(), each.sent.end(), std::uint64_t(0));
-        if (total > 0) {
-            each.sentBefore = each.sent;
-            each.totalBefore = total;
-            each.ownBaseline = true;
+    for (row &each : state.rows)
+        closeInterval(each);
+    return state;
+}
+
+double shift_limiter::shortfall(const row &of, region_index destination)
+{
+    const double expected = share(of, destination) * static_cast<double>(of.arrivals);
+    return std::max(0.0, expected - static_cast<double>(countAt(of.sent, destination)));
+}
+
+void shift_limiter::closeInterval(row &of)
+{
+    const std::uint64_t total = std::accumulate(of.sent.begin(), of.sent.end(), std::uint64_t(0));
+    if (total > 0) {
+        const std::uint64_t refused = of.arrivals - std::min(of.arrivals, total);
+        const std::size_t regions = std::max(of.sent.size(), of.before.size());
+        double missing = 0;
+        for (region_index to = 0; to < regions; ++to)
+            missing += shortfall(of, to);
+        // Refused requests count where the class went before and got less than its share. Without
+        // them, the few requests that a cap lets through in one interval would carry the whole
+        // class along in the next.
+        for (region_index to = 0; to < regions; ++to) {
+            const double kept =
+                missing > 0 ? static_cast<double>(refused) * shortfall(of, to) / missing : 0;
+            at(of.next, to) = static_cast<double>(countAt(of.sent, to)) + kept;
         }
-        std::fill(each.sent.begin(), each.sent.end(), 0);
-        each.arrivals = 0;
+        of.before.swap(of.next);
+        of.next.clear();
+        of.totalBefore = static_cast<double>(total + refused);
+        of.ownBaseline = true;
     }
-    return state;
+    std::fill(of.sent.begin(), of.sent.end(), 0);
+    of.arrivals = 0;
 }
 
 shift_limiter::row &shift_limiter::rowOf(origin_state &state, class_index workClass,
@@ -53,7 +77,7 @@
 {
     row &found = at(state.rows, workClass);
     if (found.totalBefore == 0) {
-        at(found.sentBefore, origin) = 1;
+        at(found.before, origin) = 1;
         found.totalBefore = 1;
     }
     return found;
@@ -61,10 +85,9 @@
 
 double shift_limiter::share(const row &of, region_index destination)
 {
-    if (of.totalBefore == 0)
+    if (of.totalBefore == 0 || destination >= of.before.size())
         return 0;
-    return static_cast<double>(countAt(of.sentBefore, destination))
-        / static_cast<double>(of.totalBefore);
+    return of.before[destination] / of.totalBefore;
 }
 
 double shift_limiter::excess(const row &of, region_index destination, double extraArrivals,
@@ -101,7 +124,7 @@
         moved += movedBy(each, &each == &own ? extra : 0);
         total += static_cast<double>(each.arrivals);
     }
-    return moved <= std::max(1.0, movableShare(rank) * capShare * total) + roundingRequests;
+    return moved <= std::max(1.0, movableShare(rank) * m_capShare * total) + roundingRequests;
 }
 
 void shift_limiter::forward(const flow_source &source, region_index destination, bool counted,
@@ -125,15 +148,15 @@
     for (const counted_flow &flow : flows) {
         row &own = at(at(m_origins, flow.source.origin).rows, flow.source.workClass);
         if (!own.used) {
-            own.sentBefore.clear();
+            own.before.clear();
             own.totalBefore = 0;
         }
     }
     for (const counted_flow &flow : flows) {
         row &own = m_origins[flow.source.origin].rows[flow.source.workClass];
         if (!own.used && flow.forwarded > 0) {
-            at(own.sentBefore, flow.destination) += flow.forwarded;
-            own.totalBefore += flow.forwarded;
+            at(own.before, flow.destination) += static_cast<double>(flow.forwarded);
+            own.totalBefore += static_cast<double>(flow.forwarded);
         }
     }
 }
@@ -145,9 +168,10 @@
         const origin_state &state = current(origin, now);
         for (class_index workClass = 0; workClass < state.rows.size(); ++workClass) {
             const row &each = state.rows[workClass];
-            for (region_index to = 0; each.ownBaseline && to < each.sentBefore.size(); ++to) {
-                if (each.sentBefore[to] > 0)
-                    result.push_back({{workClass, origin}, to, each.sentBefore[to]});
+            for (region_index to = 0; each.ownBaseline && to < each.before.size(); ++to) {
+                const auto count = static_cast<std::uint64_t>(std::llround(each.before[to]));
+                if (count > 0)
+                    result.push_back({{workClass, origin}, to, count});
             }
         }
     }
--- a/src/steering/upstream_health.cpp
+++ b/src/steering/upstream_health.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-constexpr microseconds warmUp = std::chrono::seconds(10);
-
 // Weight of a new sample. Ten samples replace most of an estimate, which follows a change of speed
 // within a second at the usual rates and still averages over the spread of single requests.
 constexpr double sampleWeight = 0.15;
@@ -31,7 +29,7 @@
 
 } // namespace
 
-std::uint32_t warmLimit(std::uint32_t limit, microseconds age)
+std::uint32_t warmLimit(std::uint32_t limit, microseconds age, microseconds warmUp)
 {
     if (limit == 0 || age >= warmUp)
         return limit;
--- a/src/steering/upstream_table.cpp
+++ b/src/steering/upstream_table.cpp
@@ -165,7 +165,8 @@
 
 bool upstream_table::usable(const record &of, const pick_request &request, instant now) const
 {
-    return *of.inFlightOfAll < warmLimit(of.limit, now - of.firstSeen) && !of.health.ejected(now)
+    return *of.inFlightOfAll < warmLimit(of.limit, now - of.firstSeen, m_warmUp)
+        && !of.health.ejected(now)
         && (!request.excluded || m_records[*request.excluded].get() != &of);
 }
 
--- a/src/steering/upstream_table.h
+++ b/src/steering/upstream_table.h
@@ -52,6 +52,12 @@
 class upstream_table
 {
 public:
+    // `warmUp` is how long a new upstream takes to get its full limit.
+    explicit upstream_table(microseconds warmUp)
+        : m_warmUp(warmUp)
+    {
+    }
+
     // The most upstreams that a policy is given at once.
     static constexpr std::size_t sampleSize = 32;
 
@@ -136,6 +142,7 @@
     void collect(const group &from, const pick_request &request, std::size_t start,
                  std::size_t count, instant now);
 
+    microseconds m_warmUp;
     std::vector<std::unique_ptr<record>> m_records;
     std::vector<upstream_index> m_unused;
     std::unordered_map<std::string, upstream_index> m_byKey;
--- a/src/transport/http_forwarder.cpp
+++ b/src/transport/http_forwarder.cpp
@@ -50,7 +50,9 @@
         web::uri(request.query.empty() ? request.path : request.path + "?" + request.query));
     const std::string type = headerValue(request.headers, "Content-Type");
     if (!request.body.empty() || request.method == "POST")
-        message.set_body(request.body, type.empty() ? "application/octet-stream" : type);
+        message.set_body(toBytes(request.body));
+    if (!type.empty())
+        message.headers().set_content_type(type);
     for (const auto &[name, value] : request.headers)
         message.headers()[name] = value;
     return message;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -69,7 +69,7 @@
         for (const auto &[name, value] : answer.headers)
             response.headers().add(name, value);
         const std::string type = headerValue(answer.headers, "Content-Type");
-        response.set_body(std::move(answer.body), type.empty() ? "application/octet-stream" : type);
+        response.set_body(toBytes(answer.body));
         if (!type.empty())
             response.headers().set_content_type(type);
         send(m_message, response);
--- a/stand_in/announcer.cpp
+++ b/stand_in/announcer.cpp
@@ -2,7 +2,7 @@
 
 #include "kingcuptiller/protocol/codec.h"
 #include "kingcuptiller/telemetry/log.h"
-#include "stand_in/byte_body.h"
+#include "kingcuptiller/transport/http_message.h"
 
 #include <cpprest/http_client.h>
 #include <json/value.h>
--- a/stand_in/entry_finder.cpp
+++ b/stand_in/entry_finder.cpp
@@ -2,8 +2,8 @@
 
 #include "kingcuptiller/protocol/codec.h"
 #include "kingcuptiller/telemetry/log.h"
+#include "kingcuptiller/transport/http_message.h"
 #include "kingcuptiller/values/error.h"
-#include "stand_in/byte_body.h"
 
 #include <cpprest/http_client.h>
 #include <fmt/format.h>
--- a/stand_in/load_generator.cpp
+++ b/stand_in/load_generator.cpp
@@ -1,8 +1,8 @@
 #include "stand_in/load_generator.h"
 
+#include "kingcuptiller/transport/http_message.h"
 #include "kingcuptiller/transport/system_clock.h"
 #include "kingcuptiller/values/error.h"
-#include "stand_in/byte_body.h"
 #include "stand_in/work_payload.h"
 
 #include <cpprest/http_client.h>
--- a/stand_in/stand_in_upstream.cpp
+++ b/stand_in/stand_in_upstream.cpp
@@ -1,7 +1,7 @@
 #include "stand_in/stand_in_upstream.h"
 
+#include "kingcuptiller/transport/http_message.h"
 #include "kingcuptiller/transport/system_clock.h"
-#include "stand_in/byte_body.h"
 #include "stand_in/work_payload.h"
 
 #include <fmt/format.h>
--- a/tests/stand_in/stand_in_upstream_test.cpp
+++ b/tests/stand_in/stand_in_upstream_test.cpp
@@ -1,7 +1,6 @@
 #include "kingcuptiller/transport/free_port.h"
 #include "kingcuptiller/values/error.h"
 #include "stand_in/announcer.h"
-#include "stand_in/byte_body.h"
 #include "stand_in/entry_finder.h"
 #include "stand_in/load_generator.h"
 #include "stand_in/run_journal.h"
@@ -9,6 +8,8 @@
 #include "stand_in/upstream_model.h"
 #include "stand_in/work_payload.h"
 
+#include "kingcuptiller/transport/http_message.h"
+
 #include <cpprest/http_client.h>
 #include <cppunit/extensions/HelperMacros.h>
 
