Check the lease before each look-up that is sent, and keep an open outcome

Cause: two faults in work_coordinator. (1) Only claimed requests had their lease checked right before the sending. (2) When the retry of a look-up was refused by its upstream after a first attempt with an open outcome, the client was told "not run" (I4); found by reading, while fixing (1).

Ruled out: non-idempotent requests. sendClaimed checks the lease, and their open ends are never retried.

Change: sendIdempotent checks the lease and ends the attempt as not sent; a verdict that proves one attempt not run no longer replaces the failure of an earlier attempt that may have run.

(2) the new case failed with "Expected: outcome_unknown, Actual: not_run".

--- a/include/kingcuptiller/entry/work_coordinator.h
+++ b/include/kingcuptiller/entry/work_coordinator.h
@@ -121,6 +121,7 @@
     void claimRefused(ticket &each, attempt &failed, const claim_answer &answer,
                       action_list &actions, instant now);
     void sendClaimed(ticket_id id, std::uint32_t number);
+    void sendIdempotent(ticket_id id, std::uint32_t number);
     void send(ticket_id id, std::uint32_t number);
     void attemptEnded(ticket_id id, std::uint32_t number, const forward_result &result);
     void idempotentEnded(ticket &each, upstream_verdict verdict, const forward_result &result,
--- a/src/entry/work_coordinator.cpp
+++ b/src/entry/work_coordinator.cpp
@@ -159,7 +159,7 @@
             m_timers.emplace(now + delay, timer{each.id, timer_kind::hedge});
         started.used = true;
         actions.emplace_back(
-            [self, id = each.id, number = started.number] { self->send(id, number); });
+            [self, id = each.id, number = started.number] { self->sendIdempotent(id, number); });
         return;
     }
     started.claimedAt = now;
@@ -180,6 +180,33 @@
     });
 }
 
+// Runs outside the mutex. The lease is checked right before each sending, because a request may
+// have waited in a queue, or for its retry, until the lease was over.
+void work_coordinator::sendIdempotent(ticket_id id, std::uint32_t number)
+{
+    const auto snapshot = m_hooks.snapshot();
+    std::optional<result_code> refusal;
+    locked([&](action_list &actions, instant now) {
+        ticket *each = find(id);
+        if (each == nullptr || each->attempts.at(number).ended)
+            return;
+        refusal = snapshot->refusal(m_hooks.now(), m_settings.lookupLifetime);
+        if (!refusal)
+            return;
+        attempt &unsent = each->attempts.at(number);
+        unsent.used = false;
+        reportAttempt(*each, unsent, attempt_outcome::not_sent, 0, now);
+        const bool othersOpen = std::any_of(each->attempts.begin(), each->attempts.end(),
+                                            [](const auto &item) { return !item.second.ended; });
+        if (othersOpen && !each->answered)
+            return;
+        m_dispatcher.abandon(id, now);
+        refuse(*each, each->mayHaveRun ? each->lastFailure : *refusal, actions, now);
+    });
+    if (!refusal)
+        send(id, number);
+}
+
 void work_coordinator::send(ticket_id id, std::uint32_t number)
 {
     forward_request request;
@@ -262,8 +289,10 @@
         cancelOpen(each, actions);
         return;
     }
+    // What proves that this attempt was not run says nothing about an earlier one.
+    if (!each.mayHaveRun || !provesNotRun(verdict))
+        each.lastFailure = codeOf(verdict);
     each.mayHaveRun = each.mayHaveRun || !provesNotRun(verdict);
-    each.lastFailure = codeOf(verdict);
     const bool othersOpen = std::any_of(each.attempts.begin(), each.attempts.end(),
                                         [](const auto &item) { return !item.second.ended; });
     if (!othersOpen)
--- a/tests/entry/idempotent_test.cpp
+++ b/tests/entry/idempotent_test.cpp
@@ -29,6 +29,8 @@
     CPPUNIT_TEST(deadlineEndsTheRequestAndFreesTheSlot);
     CPPUNIT_TEST(queuedRequestIsSentWhenASlotIsFree);
     CPPUNIT_TEST(queuedRequestIsRefusedAtItsDeadline);
+    CPPUNIT_TEST(queuedRequestIsNotSentAfterTheLease);
+    CPPUNIT_TEST(refusedRetryDoesNotHideAnAttemptThatMayHaveRun);
     CPPUNIT_TEST(crossedAnswerReachesNobody);
     CPPUNIT_TEST_SUITE_END();
 
@@ -137,6 +139,43 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), notRun);
     }
 
+    // Guards against an entry that sends without a lease what it queued under it: its slots may be
+    // in use by other entries, and its configuration may be outdated (I8).
+    void queuedRequestIsNotSentAfterTheLease()
+    {
+        coordinator_harness harness;
+        harness.advance(milliseconds(2400));
+        for (int i = 0; i < 19; ++i)
+            harness.request("lookup", "key-" + std::to_string(i));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(18), harness.sent.size());
+        harness.advance(milliseconds(100));
+        harness.finish(0, harness.answerTo(0));
+        harness.advance(milliseconds(10));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(18), harness.sent.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), harness.answers.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("entry_without_lease"),
+                             std::string(name(harness.answers[1].code)));
+        for (std::size_t i = 1; i < 18; ++i)
+            harness.finish(i, harness.answerTo(i));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), harness.coordinator->open());
+    }
+
+    // Guards against "not run" for a look-up whose first attempt may have run, because its last one
+    // was refused (I4).
+    void refusedRetryDoesNotHideAnAttemptThatMayHaveRun()
+    {
+        coordinator_harness harness;
+        warmUp(harness, 50);
+        harness.request("lookup");
+        std::size_t tries = 50;
+        harness.fail(tries++, forward_outcome::cut_short);
+        while (tries < harness.sent.size())
+            harness.fail(tries++, forward_outcome::not_connected);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(51), harness.answers.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("outcome_unknown"),
+                             outcomeName(harness.answers.back().code));
+    }
+
     // Guards against the answer to another request reaching this client.
     void crossedAnswerReachesNobody()
     {
