Check that no released attempt holds a key, and show what the test detects

The late claim is never sent, so no request runs twice; it only keeps its key claimed for ever.

Change: after the faults the ledger is compared with the releases that entries were told of.

--- a/tests/combined/fleet.h
+++ b/tests/combined/fleet.h
@@ -211,6 +211,8 @@
     std::map<std::string, class_name> m_classOfKey;
     // Settlements that an entry was told to be committed.
     std::set<std::string> m_committedKeys;
+    // Attempts whose release an entry was told to be committed.
+    std::map<attempt_id, request_key> m_releasedAttempts;
     // The newest revision that operators were told of.
     revision_number m_seenRevision;
     std::uint64_t m_drawn = 0;
--- a/tests/combined/fleet_checks.cpp
+++ b/tests/combined/fleet_checks.cpp
@@ -175,6 +175,15 @@
             facts.require(record != nullptr && record->state != record_state::released,
                           fmt::format("the ledger forgot {}, which was answered", key));
         }
+        // A claim that arrives after its release must not hold the key for an attempt that nobody
+        // sends.
+        for (const auto &[attempt, key] : m_releasedAttempts) {
+            const ledger_record *record = core.state().ledger().find(key);
+            facts.require(
+                record == nullptr || record->attempt != attempt
+                    || record->state == record_state::released,
+                fmt::format("{} is held by the released attempt {}", key.text(), attempt.text()));
+        }
         for (const std::string &key : m_committedKeys) {
             const ledger_record *record = core.state().ledger().find(request_key(key));
             facts.require(record != nullptr && record->state == record_state::completed
--- a/tests/combined/fleet_control.cpp
+++ b/tests/combined/fleet_control.cpp
@@ -181,6 +181,8 @@
             if (answer) {
                 if (settled.kind == settlement_kind::completed)
                     m_committedKeys.insert(settled.key.text());
+                else
+                    m_releasedAttempts[settled.attempt] = settled.key;
                 return done(true);
             }
             network.at(entry.name, network.now() + pauseAfterFailure,
