--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -61,7 +61,7 @@
     pending_reply(const pending_reply &) = delete;
     pending_reply &operator=(const pending_reply &) = delete;
 
-    void operator()(http_answer answer)
+    void operator()(const http_answer &answer)
     {
         if (std::exchange(m_sent, true))
             return;
@@ -178,8 +178,7 @@
         request.body.assign(body.begin(), body.end());
         const auto reply = std::make_shared<pending_reply>(message);
         try {
-            m_handler(std::move(request),
-                      [reply](http_answer answer) { (*reply)(std::move(answer)); });
+            m_handler(std::move(request), [reply](const http_answer &answer) { (*reply)(answer); });
         } catch (const std::exception &fault) {
             log_line(log_level::error, "http_server", "handler_failed")
                 .field("reason", fault.what());
--- a/tests/steering/shift_limiter_test.cpp
+++ b/tests/steering/shift_limiter_test.cpp
@@ -60,7 +60,9 @@
     void endInterval()
     {
         // Refused requests count where the class went before and got less than its share.
-        for (const auto &[source, sent] : m_sent) {
+        for (const auto &flows : m_sent) {
+            const source_key &source = flows.first;
+            const std::map<region_index, double> &sent = flows.second;
             double total = 0;
             for (const auto &[destination, count] : sent)
                 total += count;
