--- a/include/kingcuptiller/entry/entry_snapshot.h
+++ b/include/kingcuptiller/entry/entry_snapshot.h
@@ -22,6 +22,9 @@
     assignment_sequence assignment;
     // By the monotonic clock that includes suspended time.
     instant leaseUntil{};
+    // When the first sync was answered, and whether control has given this entry any slots since.
+    std::optional<instant> firstSyncedAt;
+    bool slotsGranted = false;
     // When control said that this entry's removal is in force everywhere.
     std::optional<instant> releasedAt;
     std::shared_ptr<const configuration> current = std::make_shared<configuration>();
@@ -31,6 +34,12 @@
     // may still use a look-up answer that lists this entry.
     [[nodiscard]] std::optional<result_code> refusal(instant now,
                                                      milliseconds lookupLifetime) const;
+
+    // As `refusal`, for work. An entry that has just started holds a lease before it holds slots;
+    // until it has some it refuses as starting, so that clients go to another entry. After 3 s
+    // without slots the fleet has none to give, and each class is refused with its own reason.
+    [[nodiscard]] std::optional<result_code> workRefusal(instant now,
+                                                         milliseconds lookupLifetime) const;
 };
 
 // The snapshot after a sync that was sent at `sentAt` and answered at `receivedAt`, or nothing when
--- a/src/entry/entry_snapshot.cpp
+++ b/src/entry/entry_snapshot.cpp
@@ -6,6 +6,16 @@
 
 namespace {
 
+// A registration, a plan of the shares and two syncs, with room for a change of leader.
+constexpr milliseconds slotWait{3000};
+
+bool grantsSlots(const entry_sync_response &response)
+{
+    return response.newAssignments
+        && std::any_of(response.newAssignments->begin(), response.newAssignments->end(),
+                       [](const upstream_assignment &each) { return each.limit > 0; });
+}
+
 bool isStale(const entry_snapshot &former, const entry_sync_response &response)
 {
     if (response.epoch < former.epoch || response.revision < former.revision
@@ -31,6 +41,16 @@
     return std::nullopt;
 }
 
+std::optional<result_code> entry_snapshot::workRefusal(instant now,
+                                                       milliseconds lookupLifetime) const
+{
+    if (const auto refused = refusal(now, lookupLifetime))
+        return refused;
+    if (!slotsGranted && firstSyncedAt && now < *firstSyncedAt + slotWait)
+        return result_code::entry_starting;
+    return std::nullopt;
+}
+
 std::optional<entry_snapshot> applySync(const entry_snapshot &former,
                                         const entry_sync_response &response, instant sentAt,
                                         instant receivedAt)
@@ -39,6 +59,9 @@
         return std::nullopt;
     entry_snapshot next = former;
     next.synced = true;
+    if (!next.firstSyncedAt)
+        next.firstSyncedAt = receivedAt;
+    next.slotsGranted = former.slotsGranted || grantsSlots(response);
     next.epoch = response.epoch;
     next.revision = response.revision;
     next.assignment = response.assignment;
--- a/src/entry/work_coordinator.cpp
+++ b/src/entry/work_coordinator.cpp
@@ -41,7 +41,7 @@
         }
         reply({.code = code, .key = request.key, .upstream = {}, .answer = {}, .detail = {}});
     };
-    if (const auto refusal = snapshot->refusal(m_hooks.now(), m_settings.lookupLifetime))
+    if (const auto refusal = snapshot->workRefusal(m_hooks.now(), m_settings.lookupLifetime))
         return refuseAtOnce(*refusal);
     const work_class *promised = snapshot->current->find(request.workClass);
     if (promised == nullptr)
--- a/tests/entry/sync_test.cpp
+++ b/tests/entry/sync_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(incompleteAnswerChangesNothing);
     CPPUNIT_TEST(leaseCountsFromTheSending);
     CPPUNIT_TEST(releasedEntryServesUntilLookupsHaveExpired);
+    CPPUNIT_TEST(startedEntryTakesNoWorkBeforeItHasSlots);
     CPPUNIT_TEST(linkFollowsTheLeader);
     CPPUNIT_TEST(linkEndsWhenNoHostAnswers);
     CPPUNIT_TEST_SUITE_END();
@@ -111,6 +112,26 @@
         CPPUNIT_ASSERT_EQUAL(std::string("serves"), refusalAt(back, 6200));
     }
 
+    // Guards against refusals as no_upstream by an entry that has a lease and no slots yet, as in
+    // the first second after a restart; its clients could be served by other entries.
+    void startedEntryTakesNoWorkBeforeItHasSlots()
+    {
+        const auto workAt = [](const entry_snapshot &snapshot, std::int64_t time) {
+            const auto refusal = snapshot.workRefusal(at(time), lookupLifetime);
+            return refusal ? std::string(name(*refusal)) : "serves";
+        };
+        const auto first = *applySync(entry_snapshot(), answerOf(1, 1, 1), at(0), at(1));
+        CPPUNIT_ASSERT_EQUAL(std::string("serves"), refusalAt(first, 100));
+        CPPUNIT_ASSERT_EQUAL(std::string("entry_starting"), workAt(first, 100));
+        auto granting = answerOf(1, 1, 2);
+        granting.newAssignments->emplace_back().limit = 1;
+        const auto granted = *applySync(first, granting, at(200), at(201));
+        CPPUNIT_ASSERT_EQUAL(std::string("serves"), workAt(granted, 300));
+        // A fleet without upstreams says so after 3 s.
+        const auto renewed = *applySync(first, answerOf(1, 1, 1), at(2000), at(2001));
+        CPPUNIT_ASSERT_EQUAL(std::string("serves"), workAt(renewed, 3001));
+    }
+
     // Guards against an entry that loses its lease because it keeps asking the wrong host, and
     // against measuring the lease from an earlier try.
     void linkFollowsTheLeader()
