--- a/bench/entry_benchmark.cpp
+++ b/bench/entry_benchmark.cpp
@@ -11,7 +11,9 @@
 #include <benchmark/benchmark.h>
 
 #include <atomic>
+#include <cstdlib>
 #include <future>
+#include <iostream>
 
 using namespace kingcuptiller;
 
@@ -192,3 +194,15 @@
 BENCHMARK(entryOnceOnly)->UseRealTime()->Threads(1)->Threads(16);
 
 } // namespace
+
+int main(int argc, char **argv)
+{
+    benchmark::Initialize(&argc, argv);
+    if (benchmark::ReportUnrecognizedArguments(argc, argv))
+        return EXIT_FAILURE;
+    benchmark::RunSpecifiedBenchmarks();
+    // cpprest closes listeners that are still open in a static destructor. By then its thread pool
+    // may have ended, and it waits for ever for the connections to close.
+    std::cout.flush();
+    std::_Exit(EXIT_SUCCESS);
+}
