Report region flows in thousandths of requests

The baseline has fractions, and flows were rounded to whole requests, so the fleet and a restarted entry saw other shares than the limiter used. Ruled out: the limiter itself; its own properties hold with the exact values. Conclusion: shares are ratios, so the unit does not matter to their readers.

--- a/include/kingcuptiller/protocol/messages.h
+++ b/include/kingcuptiller/protocol/messages.h
@@ -71,8 +71,8 @@
     auto operator<=>(const class_demand &) const = default;
 };
 
-// The part of a class's requests from clients in `origin` that went to `destination`, in requests
-// of the last whole interval of the shift limiter.
+// The part of a class's requests from clients in `origin` that went to `destination` in the last
+// whole interval of the shift limiter, in thousandths of requests.
 struct region_flow
 {
     class_name workClass;
--- a/include/kingcuptiller/steering/shift_limiter.h
+++ b/include/kingcuptiller/steering/shift_limiter.h
@@ -69,7 +69,7 @@
     // here so far. A source without a baseline starts with x(c,o,o) = 1.
     void setBaseline(const std::vector<counted_flow> &flows);
 
-    // The flows that x is computed from: the last whole interval that sent any, rounded.
+    // The flows that x is computed from, of the last whole interval that sent any, in thousandths.
     [[nodiscard]] std::vector<counted_flow> flows(instant now);
 
     // moved(o) and the sum of T of the present interval.
--- a/src/steering/shift_limiter.cpp
+++ b/src/steering/shift_limiter.cpp
@@ -13,6 +13,9 @@
 // Rounding of sums of shares must not forbid a request that is exactly at its bound.
 constexpr double roundingRequests = 1e-6;
 
+// Refused requests count in part for several regions, so flows are reported in thousandths.
+constexpr double flowUnitsPerRequest = 1000;
+
 template <typename Value>
 Value &at(std::vector<Value> &values, std::size_t index)
 {
@@ -169,7 +172,8 @@
         for (class_index workClass = 0; workClass < state.rows.size(); ++workClass) {
             const row &each = state.rows[workClass];
             for (region_index to = 0; each.ownBaseline && to < each.before.size(); ++to) {
-                const auto count = static_cast<std::uint64_t>(std::llround(each.before[to]));
+                const auto count =
+                    static_cast<std::uint64_t>(std::llround(each.before[to] * flowUnitsPerRequest));
                 if (count > 0)
                     result.push_back({{workClass, origin}, to, count});
             }
