Compute the error budget of a target in one place

Cause: the read-through found allowedShare twice, in the windows and in the plots of the burn report; a change of one would have made the two disagree. Ruled out: nothing else of the report; its escaping and time texts stand once. Change: src/report/error_budget.h serves both. Behaviour is the same.

--- a/src/report/burn_page.cpp
+++ b/src/report/burn_page.cpp
@@ -1,5 +1,7 @@
 #include "kingcuptiller/report/burn_report.h"
 
+#include "error_budget.h"
+
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
@@ -132,11 +134,6 @@
     double m_span;
 };
 
-double allowedShare(const service_target &target)
-{
-    return std::max(1 - target.successPerMille / 1000.0, 1e-6);
-}
-
 std::string plotAxes(const plot_scale &scale, wall_time last)
 {
     std::string result;
@@ -158,7 +155,7 @@
 std::string plotSteps(const class_burn &row, const plot_scale &scale)
 {
     std::string result;
-    const double allowed = allowedShare(row.target);
+    const double allowed = internal::allowedShare(row.target);
     const double base = plot_scale::y(0);
     for (const burn_point &each : row.points) {
         if (each.total == 0 || each.missed == 0)
--- a/src/report/burn_tracker.cpp
+++ b/src/report/burn_tracker.cpp
@@ -1,5 +1,7 @@
 #include "kingcuptiller/report/burn_report.h"
 
+#include "error_budget.h"
+
 #include <algorithm>
 
 namespace kingcuptiller {
@@ -17,13 +19,6 @@
     return whole == 0 ? 0 : static_cast<double>(part) / static_cast<double>(whole);
 }
 
-// A target of 1000 per mille allows no miss at all; one in a million keeps the rate finite.
-double allowedShare(const service_target &target)
-{
-    constexpr double smallestBudget = 1e-6;
-    return std::max(1 - target.successPerMille / 1000.0, smallestBudget);
-}
-
 } // namespace
 
 void burn_tracker::add(const std::vector<service_counts> &counts, wall_time now)
@@ -71,7 +66,7 @@
             causes[std::string(name(code))] += count;
         row.points.push_back({each.start, each.total, each.missed});
     }
-    const double allowed = allowedShare(promised.target);
+    const double allowed = internal::allowedShare(promised.target);
     for (burn_window *window : {&row.shortWindow, &row.longWindow})
         window->burnRate = share(window->missed, window->total) / allowed;
     row.achieved = 1 - share(row.longWindow.missed, row.longWindow.total);
