--- a/include/kingcuptiller/consensus/replica.h
+++ b/include/kingcuptiller/consensus/replica.h
@@ -20,8 +20,12 @@
 
 struct replica_settings
 {
-    // All control hosts, this one included.
+    // All control hosts, this one included; where `maximumVoters` is set, the founding ones.
     std::vector<host_id> hosts;
+    // When set, hosts that are not listed may become voters too: while there are fewer voters than
+    // this, or in the place of a voter that was silent for `replacementDelay`. When 0, only the
+    // listed hosts vote.
+    std::size_t maximumVoters = 0;
     milliseconds heartbeat{100};
     // An election starts after a random time between the two without a leader. The minimum is also
     // the time for which a replica refuses to vote after it heard from a leader or started.
@@ -88,6 +92,10 @@
     void tick(instant now);
     void receive(const peer_message &message, instant now);
 
+    // Names a further control host that this replica asks for admission while it is in no
+    // membership. The hosts that form the fleet stay those of the settings.
+    void addContact(const host_id &host);
+
     // Appends a command on the leader and returns its index. Returns nothing on any other replica
     // and while too much is uncommitted. Throws `error` with `message_malformed` when the command
     // is not UTF-8 and `message_too_large` when it does not fit into one message.
@@ -217,6 +225,8 @@
     void changeMembership(const membership &value);
     [[nodiscard]] bool isUnformed() const;
     void replaceLostReplicas();
+    [[nodiscard]] bool makeRoom(const replica_identity &newcomer);
+    void removeVoter(const replica_identity &voter);
     [[nodiscard]] bool mayChangeMembership() const;
     void notePresence();
     [[nodiscard]] bool comesFromExpectedFounder(const peer_message &message) const;
@@ -234,6 +244,8 @@
     void install(const stored_snapshot &snapshot);
 
     replica_settings m_settings;
+    // Where this replica asks for admission.
+    std::set<host_id> m_contacts;
     replica_hooks m_hooks;
     replica_store &m_store;
     instant m_now;
--- /dev/null
+++ b/include/kingcuptiller/fleet/fleet_control.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "kingcuptiller/fleet/fleet_state.h"
+#include "kingcuptiller/values/time.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace kingcuptiller {
+
+// A command's place in the replicated log.
+struct fleet_log_place
+{
+    log_index index;
+    epoch_number term;
+
+    auto operator<=>(const fleet_log_place &) const = default;
+};
+
+struct fleet_control_options
+{
+    // An upstream that was not heard for this long is marked as silent. Announcements may come
+    // seconds late, and entries avoid an upstream that does not answer long before.
+    milliseconds upstreamSilence{12'000};
+    // An entry that was not heard for this long is no longer named to clients.
+    milliseconds entrySilence{2'500};
+    // How long an order may wait for its place in the log.
+    milliseconds answerLimit{2'500};
+    // A change of the remaining cold time below this is not worth a command.
+    milliseconds coldTolerance{1'000};
+
+    bool operator==(const fleet_control_options &) const = default;
+};
+
+struct fleet_control_hooks
+{
+    // Appends to the replicated log; nothing when this host is not the leader or is overloaded.
+    std::function<std::optional<fleet_log_place>(const std::string &)> propose;
+    // Reads the clock and tells whether this host is certainly the leader now.
+    std::function<bool()> hasLease;
+};
+
+// `ok`, `revision_conflict`, `not_leader` (nothing may have happened; ask again) or
+// `change_outcome_unknown`.
+using fleet_reply = std::function<void(result_code)>;
+
+// The leader's part of a fleet without threads, sockets and clocks: turns what operators, upstreams
+// and entries say into commands, and answers when these are committed. One thread owns it, calls
+// `apply` for each committed entry in order and `tick` some times a second.
+//
+// An order is answered `ok` when it is committed: entries in touch are told at once, and a control
+// host that cannot reach a majority cannot commit. An announcement that changes nothing is answered
+// without a command.
+class fleet_control
+{
+public:
+    fleet_control(const fleet_control_options &options, fleet_control_hooks hooks);
+
+    void startLeading(instant now);
+    void stopLeading();
+    [[nodiscard]] bool isLeading() const { return m_leading; }
+
+    void order(const fleet_command &command, instant now, const fleet_reply &done);
+    // An announcement of an upstream; `gone` when it says that it ends.
+    void announce(const upstream_life &life, instant now, const fleet_reply &done);
+    // The end of an upstream that names only its id.
+    void withdraw(const upstream_id &id, instant now, const fleet_reply &done);
+    // A sign of life of an entry that takes requests.
+    void noteEntry(const serving_entry &entry, instant now);
+    void removeEntry(const endpoint_address &address, instant now);
+
+    void tick(instant now);
+    // A committed command.
+    void apply(fleet_log_place place, const std::string &text);
+
+    [[nodiscard]] const fleet_state &state() const { return m_state; }
+    void restore(const std::string &snapshot);
+
+private:
+    struct pending_command
+    {
+        epoch_number term;
+        instant proposed;
+        fleet_reply done;
+    };
+
+    void propose(const fleet_command &command, instant now, const fleet_reply &done);
+    [[nodiscard]] bool changesRoster(const upstream_life &life) const;
+    [[nodiscard]] bool isOutlived(const upstream_life &life) const;
+
+    fleet_control_options m_options;
+    fleet_control_hooks m_hooks;
+    fleet_state m_state;
+    bool m_leading = false;
+    std::map<upstream_id, instant> m_upstreamHeard;
+    std::map<endpoint_address, instant> m_entryHeard;
+    std::map<log_index, pending_command> m_pending;
+};
+
+} // namespace kingcuptiller
--- /dev/null
+++ b/include/kingcuptiller/node/control_node.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include "kingcuptiller/consensus/replica.h"
+#include "kingcuptiller/fleet/fleet_control.h"
+#include "kingcuptiller/node/frame_connection.h"
+#include "kingcuptiller/relay/http_types.h"
+#include "kingcuptiller/storage/replica_store.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace kingcuptiller {
+
+struct control_node_options
+{
+    // The IP address at which the other hosts reach this one; also its id.
+    host_id host;
+    // All control hosts listen on this port.
+    unsigned short port = 0;
+    // Control hosts that were known when the settings were written.
+    std::vector<host_id> seeds;
+    // The fleet starts for the first time: the seeds form it.
+    bool founding = false;
+    std::string dataFolder;
+    std::size_t maximumVoters = 5;
+    replica_settings replicas;
+    fleet_control_options fleet;
+    // How long a call waits for the leader; below the second after which callers go elsewhere.
+    milliseconds callLimit{900};
+    // Views are sent to entries at most this often.
+    milliseconds viewInterval{80};
+    milliseconds tickInterval{50};
+    std::function<instant()> now;
+    std::function<std::uint64_t()> random;
+};
+
+// A control host: a replica of the fleet's state, its connections to the other control hosts and to
+// entries. Calls may come to any control host, which passes them on to the leader. All of it runs
+// in the thread that runs `context`; that is the thread of the control state.
+class control_node
+{
+public:
+    // Opens the data folder and listens. Throws `error` with `port_unavailable` or a code of the
+    // data folder.
+    control_node(boost::asio::io_context &context, control_node_options options);
+    ~control_node();
+    control_node(const control_node &) = delete;
+    control_node &operator=(const control_node &) = delete;
+
+    // The answers to calls; a call that gets no answer in time is `change_outcome_unknown`.
+    [[nodiscard]] boost::asio::awaitable<result_code> order(fleet_command command);
+    [[nodiscard]] boost::asio::awaitable<result_code> announce(upstream_life life);
+    [[nodiscard]] boost::asio::awaitable<result_code> withdraw(upstream_id id);
+    // The newest configuration as it was sent; nothing when this host cannot be sure of it.
+    [[nodiscard]] boost::asio::awaitable<std::optional<std::string>> readDocument();
+
+    [[nodiscard]] replica_status status() const { return m_replica->status(); }
+    [[nodiscard]] const fleet_state &state() const { return m_control->state(); }
+
+private:
+    struct call_answer
+    {
+        result_code code = result_code::change_outcome_unknown;
+        std::string body;
+    };
+    using call_reply = std::function<void(const call_answer &)>;
+
+    // A call that another host asked for or that is asked of the leader.
+    struct call_text
+    {
+        std::string operation;
+        std::string body;
+    };
+
+    // A connection to another control host that carries this host's frames.
+    struct peer_link
+    {
+        std::shared_ptr<frame_connection> connection;
+        bool dialling = false;
+        instant dialAgain;
+    };
+
+    // An entry that is told of changes.
+    struct entry_feed
+    {
+        std::shared_ptr<frame_connection> connection;
+        revision_number version;
+        std::uint64_t commands = 0;
+        std::optional<serving_entry> entry;
+    };
+
+    void openReplica(bool founding);
+    void round();
+    void scheduleRound();
+    void scheduleTick();
+    void followLeadership();
+    void noteEvents();
+    void sendOutgoing();
+
+    // control_links.cpp
+    boost::asio::awaitable<void> acceptAll();
+    boost::asio::awaitable<void> dial(host_id host);
+    void noteHost(const host_id &host);
+    void dialPeers();
+    void sendTo(const host_id &host, frame_kind kind, const std::string &body);
+    void introduce(frame_connection &connection);
+    void receive(const std::shared_ptr<frame_connection> &connection, const frame &received);
+    void noteIntroduction(const std::string &body);
+    void notePresence(const std::shared_ptr<frame_connection> &connection, const std::string &body);
+    void sendViews();
+    void sendView(entry_feed &feed);
+    [[nodiscard]] bool hasLeader() const;
+
+    // control_calls.cpp
+    boost::asio::awaitable<call_answer> call(call_text text);
+    void answerHere(const call_text &text, const call_reply &done);
+    void passOn(const call_text &text, const call_reply &done);
+    void noteCall(const std::string &body);
+    void noteReply(const std::string &body);
+    void expireCalls();
+
+    boost::asio::io_context &m_context;
+    control_node_options m_options;
+    std::unique_ptr<replica_store> m_store;
+    std::unique_ptr<replica> m_replica;
+    std::unique_ptr<fleet_control> m_control;
+    epoch_number m_leadingTerm;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_tick;
+    bool m_roundScheduled = false;
+    instant m_viewsDue;
+
+    std::map<host_id, peer_link> m_peers;
+    std::map<frame_connection *, entry_feed> m_entries;
+    std::set<std::shared_ptr<frame_connection>> m_accepted;
+
+    struct waiting_call
+    {
+        call_reply done;
+        instant until;
+    };
+    std::uint64_t m_nextCall = 1;
+    std::map<std::uint64_t, waiting_call> m_calls;
+};
+
+} // namespace kingcuptiller
--- /dev/null
+++ b/include/kingcuptiller/node/entry_node.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "kingcuptiller/fleet/traffic_configuration.h"
+#include "kingcuptiller/node/fleet_feed.h"
+#include "kingcuptiller/relay/request_relay.h"
+#include "kingcuptiller/settings/node_settings.h"
+#include "kingcuptiller/telemetry/counters.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace kingcuptiller {
+
+// What an entry needs to know of the platform on which it runs.
+struct entry_platform
+{
+    relay_headers headers;
+    // Reads a configuration as operators write it. Throws `error` with `change_malformed`.
+    std::function<traffic_configuration(const std::string &document)> decodeConfiguration;
+};
+
+// The entries that a client in a zone should use: those of its zone, else of its region, else all.
+[[nodiscard]] std::vector<serving_entry> nearestEntries(const std::vector<serving_entry> &entries,
+                                                        const region_name &region,
+                                                        const zone_name &zone);
+
+// An entry: the server for clients, the relay, and the feed from control. Traffic runs in the
+// thread that runs `context`; the feed, which decodes configurations, in a thread of its own.
+class entry_node
+{
+public:
+    // Throws `error` with `port_unavailable`.
+    entry_node(boost::asio::io_context &context, const node_settings &settings,
+               entry_platform platform, counter_registry &counters);
+    ~entry_node();
+    entry_node(const entry_node &) = delete;
+    entry_node &operator=(const entry_node &) = delete;
+
+    // Whether clients may be sent here.
+    [[nodiscard]] bool ready() const { return m_relay.ready() && !m_leaving; }
+    [[nodiscard]] const std::vector<serving_entry> &entries() const { return m_view.entries; }
+
+    // Ends the entry without cutting a request: it is taken off the directory, then takes no new
+    // connections, and `done` is called when nothing is left to answer or the time is over.
+    void leave(std::function<void()> done);
+
+private:
+    void apply(const fleet_view &view, const std::optional<traffic_configuration> &configuration);
+    void scheduleTick();
+    void finishLeaving(std::function<void()> done, instant until);
+
+    boost::asio::io_context &m_context;
+    node_settings m_settings;
+    entry_platform m_platform;
+    request_relay m_relay;
+    fleet_view m_view;
+    std::unique_ptr<traffic_server> m_server;
+    boost::asio::steady_timer m_tick;
+    boost::asio::steady_timer m_leavingTimer;
+    bool m_leaving = false;
+
+    class feed_thread;
+    std::unique_ptr<feed_thread> m_feed;
+};
+
+} // namespace kingcuptiller
--- /dev/null
+++ b/include/kingcuptiller/node/frame_connection.h
@@ -0,0 +1,77 @@
+#pragma once
+
+// Boost 1.74's awaitable.hpp uses std::exchange without including its header.
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace kingcuptiller {
+
+// What a frame between two processes of the system holds; its first byte on the wire.
+enum class frame_kind : char {
+    // A control host introduces itself and names the control hosts that it knows.
+    introduction = 'i',
+    // A message of the replicated log.
+    peer = 'p',
+    // A control host passes a call on to the leader.
+    call = 'c',
+    reply = 'r',
+    // An entry tells that it serves, and which view it has.
+    presence = 'e',
+    // A view of the fleet, for an entry.
+    view = 'v',
+    // The entry's view is current.
+    current = 'k',
+    // This control host has lost the leader; its view may be old.
+    stale = 's',
+};
+
+struct frame
+{
+    frame_kind kind = frame_kind::current;
+    std::string body;
+
+    bool operator==(const frame &) const = default;
+};
+
+// A TCP connection between two processes of the system that carries frames: four bytes of length,
+// most significant first, one byte of kind, the body. JSON-RPC over HTTP would take two round trips
+// for each message between regions; these connections are kept.
+//
+// A peer that does not acknowledge bytes for two seconds, sends a frame over 8 MiB, or does not
+// read what it is sent, loses the connection. All callbacks run in the thread of the context.
+class frame_connection : public std::enable_shared_from_this<frame_connection>
+{
+public:
+    explicit frame_connection(boost::asio::ip::tcp::socket socket);
+
+    // Reads until the connection ends; then `onClose` is called once.
+    void start(std::function<void(frame)> onFrame, std::function<void()> onClose);
+    void send(frame_kind kind, const std::string &body);
+    void close();
+    [[nodiscard]] bool isOpen() const { return m_socket.is_open(); }
+
+private:
+    void readHeader();
+    void readBody(std::size_t size);
+    void writeNext();
+
+    boost::asio::ip::tcp::socket m_socket;
+    std::function<void(frame)> m_onFrame;
+    std::function<void()> m_onClose;
+    std::array<unsigned char, 5> m_header{};
+    std::string m_body;
+    std::deque<std::string> m_queue;
+    std::size_t m_queuedBytes = 0;
+};
+
+} // namespace kingcuptiller
--- /dev/null
+++ b/include/kingcuptiller/relay/traffic_server.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "kingcuptiller/fleet/traffic_configuration.h"
+#include "kingcuptiller/relay/http_types.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace kingcuptiller {
+
+// Tells whoever works on a request that its client has closed the connection.
+class client_presence
+{
+public:
+    [[nodiscard]] bool hasLeft() const { return m_left; }
+    // Called once, when the client leaves; replaces a former callback. Empty to watch no longer.
+    void onLeave(std::function<void()> callback) { m_callback = std::move(callback); }
+    void leave();
+
+private:
+    bool m_left = false;
+    std::function<void()> m_callback;
+};
+
+// Answers one request. It must not throw; the request stays valid until it returns.
+using request_handler = std::function<boost::asio::awaitable<relay_response>(
+    const relay_request &request, client_presence &client)>;
+
+// An HTTP/1.1 server for one address. All of it runs in the thread that runs `context`. It reads
+// whole requests within the limits, answers them one after another on each connection, and refuses
+// what breaks the limits with 400, 408, 413 or 431 and a close.
+class traffic_server
+{
+public:
+    // Throws `error` with `port_unavailable`.
+    traffic_server(boost::asio::io_context &context, const tcp_endpoint &address,
+                   request_handler handler, std::function<client_limits()> limits);
+    ~traffic_server();
+    traffic_server(const traffic_server &) = delete;
+    traffic_server &operator=(const traffic_server &) = delete;
+
+    // From now on each answer closes its connection, and connections without a request are closed.
+    void startLeaving();
+    // New connections are no longer taken.
+    void stopAccepting();
+    // Requests that are being read, worked on or answered.
+    [[nodiscard]] std::size_t requestsInProgress() const { return m_inProgress; }
+    [[nodiscard]] tcp_endpoint address() const;
+
+private:
+    struct session;
+
+    boost::asio::awaitable<void> acceptAll();
+    boost::asio::awaitable<void> serve(std::shared_ptr<session> client);
+    boost::asio::awaitable<bool> serveOne(session &client);
+    boost::asio::awaitable<bool> readRequest(session &client);
+    boost::asio::awaitable<bool> refuse(session &client, boost::beast::http::status status);
+
+    boost::asio::io_context &m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    request_handler m_handler;
+    std::function<client_limits()> m_limits;
+    std::set<std::shared_ptr<session>> m_sessions;
+    std::size_t m_inProgress = 0;
+    bool m_leaving = false;
+};
+
+} // namespace kingcuptiller
--- /dev/null
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -0,0 +1,182 @@
+#pragma once
+
+#include "kingcuptiller/fleet/fleet_state.h"
+#include "kingcuptiller/fleet/traffic_configuration.h"
+#include "kingcuptiller/values/time.h"
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace kingcuptiller {
+
+// The work of an upstream as it reports it beside an answer.
+struct upstream_load
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+
+    auto operator<=>(const upstream_load &) const = default;
+};
+
+// How one sending of a request ended, as far as the choice of upstreams is concerned.
+enum class sending_outcome {
+    answered,
+    // The upstream answered with a failure of its own.
+    failed,
+    // No connection; nothing was sent.
+    unreachable,
+    // The upstream refused truthfully: nothing ran.
+    shed,
+    // Another lifetime answers at the address.
+    replaced,
+    // No complete answer came, or none in time.
+    broken,
+    // The client left; says nothing about the upstream.
+    abandoned,
+};
+
+struct choice_settings
+{
+    region_name region;
+    zone_name zone;
+    std::map<zone_name, region_name> regions;
+    // An upstream in another zone must be faster by this much, because bytes between zones cost.
+    milliseconds otherZonePenalty{40};
+    // The same for another region, beside the way there.
+    milliseconds otherRegionPenalty{150};
+    // Assumed way to another region and back until a connection there has been measured.
+    milliseconds otherRegionRoundTrip{110};
+    // Objects that an upstream is taken to remember.
+    std::size_t rememberedObjects = 24;
+
+    bool operator==(const choice_settings &) const = default;
+};
+
+// What a request needs from an upstream.
+struct choice_request
+{
+    service_name service;
+    // The object that the request concerns; empty when there is none.
+    std::string object;
+    std::set<region_name> regions;
+    milliseconds latencyTarget{1000};
+    // The time that is left for an answer.
+    milliseconds timeLeft{1000};
+    // Where this request has been sent before.
+    std::set<upstream_id> tried;
+};
+
+struct chosen_upstream
+{
+    upstream_life life;
+    milliseconds expected{0};
+};
+
+// Why no upstream was chosen, and when one may be free.
+struct no_choice
+{
+    // There is no usable upstream at all, or all are busy for too long.
+    bool noneKnown = false;
+    milliseconds retryAfter{500};
+};
+
+// Chooses the upstream of a request from what this entry knows: announcements, load reports beside
+// answers, its own requests in flight and how these ended. An upstream that handled an object
+// recently answers much faster, so requests for it return there until waiting would cost more.
+//
+//     const auto choice = choices.choose(request, now);
+//     const bool familiar = choices.started(choice->life.id, request.object, now);
+//     choices.finished(choice->life.id, familiar, sending_outcome::answered, elapsed, load, now);
+//
+// One thread owns it.
+class upstream_choice
+{
+public:
+    explicit upstream_choice(choice_settings settings);
+
+    // Takes over a view of the fleet. What is known of lifetimes that go on is kept.
+    void update(const fleet_view &view, const route_table &routes, instant now);
+
+    // The best upstream, or nothing; then `reason` tells why.
+    [[nodiscard]] std::optional<chosen_upstream> choose(const choice_request &request, instant now,
+                                                        no_choice &reason);
+    // Returns whether the upstream had handled the object recently; `finished` takes it back.
+    [[nodiscard]] bool started(const upstream_id &id, const std::string &object, instant now);
+    void finished(const upstream_id &id, bool familiar, sending_outcome outcome,
+                  microseconds elapsed, const std::optional<upstream_load> &load, instant now);
+    // The way to a zone and back as a new connection showed it.
+    void noteRoundTrip(const zone_name &zone, microseconds elapsed);
+    // An upstream said that it is cold for so long.
+    void noteCold(const upstream_id &id, milliseconds remaining, instant now);
+
+    [[nodiscard]] bool knowsUpstreams() const { return !m_upstreams.empty(); }
+
+private:
+    struct remembered_object
+    {
+        std::list<std::string> order;
+        std::unordered_map<std::string, std::list<std::string>::iterator> places;
+    };
+
+    struct upstream_record
+    {
+        upstream_life life;
+        region_name region;
+        bool evacuated = false;
+        std::uint32_t inFlight = 0;
+        // Requests of other entries at the last report.
+        double others = 0;
+        instant reported;
+        // How many times slower than its service's usual time it answers.
+        double slowness = 1;
+        double failureShare = 0;
+        std::uint32_t failuresInRow = 0;
+        instant avoidUntil;
+        milliseconds lastAvoidance{0};
+        instant coldUntil;
+        double coldTokens = 1;
+        instant coldCounted;
+        remembered_object objects;
+    };
+
+    // What requests of one service usually take at an idle upstream.
+    struct service_record
+    {
+        std::vector<upstream_id> members;
+        double familiarMs = 300;
+        double unfamiliarMs = 900;
+        double coldRequestsPerSecond = 0;
+        milliseconds coldTime{0};
+    };
+
+    [[nodiscard]] double loadOf(const upstream_record &upstream, instant now) const;
+    [[nodiscard]] double networkMs(const upstream_record &upstream) const;
+    [[nodiscard]] double placePenaltyMs(const upstream_record &upstream) const;
+    [[nodiscard]] double expectedMs(const upstream_record &upstream, const service_record &service,
+                                    const std::string &object, instant now) const;
+    [[nodiscard]] bool mayUse(upstream_record &upstream, const service_record &service,
+                              const choice_request &request, instant now) const;
+    void noteColdStart(upstream_record &upstream, milliseconds coldFor, instant now) const;
+    void refillColdTokens(upstream_record &upstream, const service_record &service,
+                          instant now) const;
+    void noteFailure(upstream_record &upstream, sending_outcome outcome, instant now);
+    void noteDuration(upstream_record &upstream, bool familiar, microseconds elapsed, instant now);
+    void remember(upstream_record &upstream, const std::string &object) const;
+
+    choice_settings m_settings;
+    std::map<upstream_id, upstream_record> m_upstreams;
+    std::map<service_name, service_record> m_services;
+    std::map<region_name, double> m_roundTripMs;
+    std::set<zone_name> m_evacuated;
+    // Entries that share the rate of a cold upstream.
+    std::size_t m_entries = 1;
+};
+
+} // namespace kingcuptiller
--- /dev/null
+++ b/include/kingcuptiller/relay/upstream_connections.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "kingcuptiller/relay/http_types.h"
+#include "kingcuptiller/values/identifiers.h"
+#include "kingcuptiller/values/time.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace kingcuptiller {
+
+// The names of the headers that clients, entries and upstreams speak. They belong to the platform
+// on which the system runs.
+struct relay_headers
+{
+    // A client's id of one request; upstreams repeat it in their answers.
+    std::string requestId;
+    // Milliseconds that the receiver may use.
+    std::string timeLeft;
+    // The object that a request concerns.
+    std::string object;
+    // The lifetime that shall run the request; any other refuses it.
+    std::string expectedUpstream;
+    // Proves that an upstream made the answer.
+    std::string seal;
+    // Present when the upstream states that it has not run the request.
+    std::string notRun;
+    // "running,waiting,slots" of the upstream.
+    std::string load;
+    // Milliseconds for which the upstream stays cold.
+    std::string cold;
+    // Seconds after which the client may come back.
+    std::string retryAfter;
+
+    bool operator==(const relay_headers &) const = default;
+};
+
+// A connection to an upstream that carries one request at a time.
+struct upstream_connection
+{
+    explicit upstream_connection(boost::asio::io_context &context)
+        : socket(context)
+    {
+    }
+
+    boost::asio::ip::tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+    // It has carried a request before.
+    bool reused = false;
+    instant idleSince;
+    milliseconds usableIdle{0};
+};
+
+// Idle connections to upstreams. A kept connection is handed out only while the upstream surely
+// keeps it open: well before its announced idle time ends, and when nothing has arrived on it.
+class upstream_connections
+{
+public:
+    // A kept connection, or nullptr.
+    [[nodiscard]] std::shared_ptr<upstream_connection> take(const endpoint_address &address,
+                                                            instant now);
+    // Takes a connection back after a complete answer.
+    void keep(const endpoint_address &address, std::shared_ptr<upstream_connection> connection,
+              const relay_response &answer, instant now);
+    // Closes the connections that have been idle for too long.
+    void closeIdle(instant now);
+
+private:
+    std::map<endpoint_address, std::deque<std::shared_ptr<upstream_connection>>> m_idle;
+};
+
+// How one sending ended.
+struct sending_result
+{
+    enum class end {
+        // A complete answer that belongs to the request.
+        answered,
+        // No connection, or the request was not begun.
+        not_sent,
+        // It may have run; no complete answer came.
+        broken,
+        // As `broken`: the time was over.
+        timed_out,
+        // As `broken`: the client left.
+        abandoned,
+    };
+
+    end kind = end::not_sent;
+    relay_response answer;
+};
+
+// Opens a connection within `limit`; returns whether it is open.
+boost::asio::awaitable<bool> openConnection(boost::asio::io_context &context,
+                                            std::shared_ptr<upstream_connection> connection,
+                                            tcp_endpoint address, milliseconds limit);
+
+// Sends a request once on an open connection and reads its answer, at most until `limit` from now.
+// Answers to other requests that come first are dropped. An answer that arrives before the whole
+// request was sent ends the use of the connection. Whoever closes the socket meanwhile ends the
+// sending; the caller then knows why.
+boost::asio::awaitable<sending_result> exchange(boost::asio::io_context &context,
+                                                std::shared_ptr<upstream_connection> connection,
+                                                std::shared_ptr<const relay_request> request,
+                                                const relay_headers &headers, milliseconds limit);
+
+} // namespace kingcuptiller
--- /dev/null
+++ b/include/kingcuptiller/settings/node_settings.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "kingcuptiller/settings/settings_reader.h"
+#include "kingcuptiller/values/identifiers.h"
+#include "kingcuptiller/values/time.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace kingcuptiller {
+
+// The settings of one process of a fleet whose hosts find each other from a few seeds.
+struct node_settings
+{
+    std::string name;
+    // The IP address at which the other hosts reach this one.
+    host_id host;
+    zone_name zone;
+    region_name region;
+    // All zones of the deployment and their regions.
+    std::map<zone_name, region_name> zones;
+
+    // Where this process listens; those that it does not serve are absent.
+    std::optional<endpoint_address> traffic;
+    std::optional<endpoint_address> ready;
+    std::optional<endpoint_address> control;
+    std::optional<endpoint_address> directory;
+    // Control hosts listen here for each other and for entries; the same on all hosts.
+    unsigned short internalPort = 0;
+
+    std::vector<host_id> seeds;
+    // The whole system starts for the first time.
+    bool founding = false;
+    // Control hosts only.
+    std::string dataFolder;
+
+    // The time between SIGTERM and the end of the process at the latest.
+    milliseconds shutdownLimit{6'000};
+    // How long clients may keep an answer of the directory.
+    milliseconds directoryLifetime{2'000};
+    // Repeats that all entries together may send to a service in `retryWindow`: this share of its
+    // requests plus the slack.
+    double retryShare = 0.2;
+    double retrySlack = 64;
+    milliseconds retryWindow{10'000};
+
+    log_level logLevel = log_level::info;
+    std::vector<effective_setting> effective;
+};
+
+// Reads and checks a file in INI format. Throws `error` with `settings_invalid`; the message names
+// file, section and key.
+[[nodiscard]] node_settings loadNodeSettings(const std::string &path);
+
+// The same from text; `path` serves for messages.
+[[nodiscard]] node_settings parseNodeSettings(const std::string &path, const std::string &text);
+
+} // namespace kingcuptiller
--- a/include/kingcuptiller/values/identifiers.h
+++ b/include/kingcuptiller/values/identifiers.h
@@ -79,6 +79,9 @@
 // "IP:port".
 using endpoint_address = text_identifier<struct endpoint_address_tag>;
 
+// A group of upstreams that serve the same requests.
+using service_name = text_identifier<struct service_name_tag>;
+
 // Work and operators' changes.
 using class_name = text_identifier<struct class_name_tag>;
 using request_key = text_identifier<struct request_key_tag>;
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -29,6 +29,7 @@
 
 replica::replica(replica_settings settings, replica_hooks hooks, replica_store &store, instant now)
     : m_settings(std::move(settings))
+    , m_contacts(m_settings.hosts.begin(), m_settings.hosts.end())
     , m_hooks(std::move(hooks))
     , m_store(store)
     , m_now(now)
@@ -52,6 +53,11 @@
     m_now = std::max(m_now, now);
 }
 
+void replica::addContact(const host_id &host)
+{
+    m_contacts.insert(host);
+}
+
 void replica::tick(instant now)
 {
     advanceClock(now);
--- a/src/consensus/replica_membership.cpp
+++ b/src/consensus/replica_membership.cpp
@@ -91,7 +91,7 @@
     if (m_now < m_joinDue)
         return;
     m_joinDue = m_now + joinInterval;
-    for (const host_id &host : m_settings.hosts) {
+    for (const host_id &host : m_contacts) {
         if (host == m_store.identity().host)
             continue;
         const auto known = m_joins.find(host);
@@ -113,7 +113,8 @@
 
 void replica::formFleet()
 {
-    if (!m_store.founding() || !isUnformed() || m_settings.hosts.front() != m_store.identity().host)
+    if (!m_store.founding() || !isUnformed() || m_settings.hosts.empty()
+        || m_settings.hosts.front() != m_store.identity().host)
         return;
     membership founders;
     founders = founders.with(m_store.identity());
@@ -145,9 +146,10 @@
 
 void replica::noteStranger(const replica_identity &identity)
 {
-    const bool listed = std::find(m_settings.hosts.begin(), m_settings.hosts.end(), identity.host)
-        != m_settings.hosts.end();
-    if (m_role != replica_role::leader || !listed || members().contains(identity))
+    const bool admissible = m_settings.maximumVoters > 0
+        || std::find(m_settings.hosts.begin(), m_settings.hosts.end(), identity.host)
+            != m_settings.hosts.end();
+    if (m_role != replica_role::leader || !admissible || members().contains(identity))
         return;
     const replica_identity *const voter = members().onHost(identity.host);
     const auto join = m_joins.find(identity.host);
@@ -202,21 +204,44 @@
     for (const auto &[identity, peer] : m_peers) {
         if (peer.voter || !peer.caughtUp || !isReachable(peer))
             continue;
-        const replica_identity *const old = members().onHost(identity.host);
-        if (old == nullptr) {
-            changeMembership(members().with(identity));
-            return;
-        }
-        const auto lost = m_peers.find(*old);
-        if (lost != m_peers.end()
-            && m_now - lost->second.lastHeard >= m_settings.replacementDelay) {
-            addEvent("replica_removed", old->host.text() + " as " + old->incarnation.text());
-            changeMembership(members().without(*old));
+        if (makeRoom(identity))
             return;
-        }
     }
 }
 
+// Makes the next change on the way to the newcomer's vote; false when none is due.
+bool replica::makeRoom(const replica_identity &newcomer)
+{
+    const auto isLost = [&](const replica_identity &voter) {
+        const auto peer = m_peers.find(voter);
+        return peer != m_peers.end()
+            && m_now - peer->second.lastHeard >= m_settings.replacementDelay;
+    };
+    const replica_identity *const old = members().onHost(newcomer.host);
+    if (old != nullptr) {
+        if (!isLost(*old))
+            return false;
+        removeVoter(*old);
+        return true;
+    }
+    if (m_settings.maximumVoters == 0 || members().voters.size() < m_settings.maximumVoters) {
+        changeMembership(members().with(newcomer));
+        return true;
+    }
+    const auto &voters = members().voters;
+    const auto lost = std::find_if(voters.begin(), voters.end(), isLost);
+    if (lost == voters.end())
+        return false;
+    removeVoter(replica_identity(*lost));
+    return true;
+}
+
+void replica::removeVoter(const replica_identity &voter)
+{
+    addEvent("replica_removed", voter.host.text() + " as " + voter.incarnation.text());
+    changeMembership(members().without(voter));
+}
+
 void replica::notePresence()
 {
     std::erase_if(m_peers, [&](const auto &peer) {
--- /dev/null
+++ b/src/fleet/traffic_configuration.cpp
@@ -0,0 +1,98 @@
+#include "kingcuptiller/fleet/traffic_configuration.h"
+
+#include "kingcuptiller/values/error.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace kingcuptiller {
+
+namespace {
+
+constexpr milliseconds longestTimeout{600'000};
+// A latency target this far above the timeout could never be met.
+constexpr milliseconds longestTargetBeyondTimeout{60'000};
+
+[[noreturn]] void refuse(const std::string &reason)
+{
+    throw error(result_code::change_malformed, reason);
+}
+
+void checkRoute(const traffic_route &route, const std::set<service_name> &services)
+{
+    if (route.host.empty() || route.pathPrefix.empty() || route.pathPrefix.front() != '/'
+        || route.pathPrefix.back() != '/')
+        refuse("route " + route.name + " needs a host and a prefix between slashes");
+    if (route.timeout <= milliseconds(0) || route.timeout > longestTimeout)
+        refuse("the timeout of route " + route.name + " is out of range");
+    if (route.latencyTarget >= route.timeout + longestTargetBeyondTimeout)
+        refuse("the latency target of route " + route.name + " is far above its timeout");
+    double total = 0;
+    for (const route_part &part : route.parts) {
+        if (!services.contains(part.service))
+            refuse("route " + route.name + " names the unknown service " + part.service.text());
+        if (!(part.weight >= 0))
+            refuse("route " + route.name + " has a negative weight");
+        total += part.weight;
+    }
+    if (!(total > 0))
+        refuse("route " + route.name + " sends its requests nowhere");
+}
+
+std::string lowerHost(std::string_view host)
+{
+    std::string result(host.substr(0, host.find(':')));
+    std::transform(result.begin(), result.end(), result.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return result;
+}
+
+} // namespace
+
+void checkConfiguration(const traffic_configuration &configuration)
+{
+    if (configuration.version <= configuration.base)
+        refuse("the version is not above the one that it builds on");
+    std::set<service_name> services;
+    for (const service_settings &service : configuration.services)
+        services.insert(service.name);
+    std::set<std::pair<std::string, std::string>> places;
+    for (const traffic_route &route : configuration.routes) {
+        checkRoute(route, services);
+        if (!places.emplace(lowerHost(route.host), route.pathPrefix).second)
+            refuse("route " + route.name + " has the host and prefix of another route");
+    }
+}
+
+route_table::route_table(const traffic_configuration &configuration)
+{
+    for (const traffic_route &route : configuration.routes)
+        m_hosts[lowerHost(route.host)].push_back(route);
+    for (auto &[host, routes] : m_hosts) {
+        std::stable_sort(routes.begin(), routes.end(), [](const auto &left, const auto &right) {
+            return left.pathPrefix.size() > right.pathPrefix.size();
+        });
+    }
+    for (const service_settings &service : configuration.services)
+        m_services.emplace(service.name, service);
+}
+
+const traffic_route *route_table::find(std::string_view host, std::string_view path) const
+{
+    const auto routes = m_hosts.find(lowerHost(host));
+    if (routes == m_hosts.end())
+        return nullptr;
+    const auto found =
+        std::find_if(routes->second.begin(), routes->second.end(),
+                     [&](const auto &route) { return path.starts_with(route.pathPrefix); });
+    return found == routes->second.end() ? nullptr : &*found;
+}
+
+const service_settings *route_table::service(const service_name &name) const
+{
+    const auto found = m_services.find(name);
+    return found == m_services.end() ? nullptr : &found->second;
+}
+
+} // namespace kingcuptiller
--- /dev/null
+++ b/src/node/control_calls.cpp
@@ -0,0 +1,155 @@
+#include "kingcuptiller/node/control_node.h"
+
+#include "../consensus/peer_json.h"
+#include "kingcuptiller/values/error.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <optional>
+#include <utility>
+
+// Calls of operators, upstreams and entries, answered here by the leader or passed on to it.
+
+namespace kingcuptiller {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+asio::awaitable<control_node::call_answer> control_node::call(call_text text)
+{
+    struct waiting
+    {
+        asio::steady_timer timer;
+        std::optional<call_answer> answer;
+    };
+    const auto state = std::make_shared<waiting>(
+        waiting{asio::steady_timer(m_context, m_options.callLimit), std::nullopt});
+    const call_reply done = [state](const call_answer &answer) {
+        state->answer = answer;
+        state->timer.cancel();
+    };
+    if (m_control->isLeading())
+        answerHere(text, done);
+    else
+        passOn(text, done);
+    error_code ignored;
+    if (!state->answer)
+        co_await state->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    co_return state->answer.value_or(call_answer{});
+}
+
+void control_node::answerHere(const call_text &text, const call_reply &done)
+{
+    const instant now = m_options.now();
+    const fleet_reply withCode = [done](result_code code) { done({code, {}}); };
+    if (text.operation == "order") {
+        m_control->order(decodeFleetCommand(text.body), now, withCode);
+    } else if (text.operation == "announce") {
+        m_control->announce(decodeUpstreamLife(text.body), now, withCode);
+    } else if (text.operation == "withdraw") {
+        m_control->withdraw(upstream_id(text.body), now, withCode);
+    } else if (text.operation == "entry") {
+        m_control->noteEntry(decodeServingEntry(text.body), now);
+        withCode(result_code::ok);
+    } else if (text.operation == "entry_gone") {
+        m_control->removeEntry(decodeServingEntry(text.body).address, now);
+        withCode(result_code::ok);
+    } else if (text.operation == "read" && m_replica->hasLease(now)) {
+        done({result_code::ok, m_control->state().document()});
+    } else {
+        withCode(result_code::not_leader);
+    }
+}
+
+void control_node::passOn(const call_text &text, const call_reply &done)
+{
+    if (m_control->isLeading()) {
+        answerHere(text, done);
+        return;
+    }
+    const host_id leader = m_replica->status().leader;
+    const auto link = m_peers.find(leader);
+    if (leader.empty() || link == m_peers.end() || !link->second.connection) {
+        done({result_code::not_leader, {}});
+        return;
+    }
+    Json::Value object;
+    object["id"] = Json::UInt64(m_nextCall);
+    object["from"] = m_options.host.text();
+    object["operation"] = text.operation;
+    object["body"] = text.body;
+    m_calls[m_nextCall++] = {done, m_options.now() + m_options.callLimit};
+    link->second.connection->send(frame_kind::call, internal::written(object));
+}
+
+void control_node::noteCall(const std::string &body)
+{
+    const Json::Value object = internal::parsed(body);
+    const host_id from(internal::textField(object, "from"));
+    const std::uint64_t id = internal::numberField(object, "id");
+    answerHere({internal::textField(object, "operation"), internal::textField(object, "body")},
+               [this, from, id](const call_answer &answer) {
+                   Json::Value reply;
+                   reply["id"] = Json::UInt64(id);
+                   reply["code"] = std::string(name(answer.code));
+                   reply["body"] = answer.body;
+                   sendTo(from, frame_kind::reply, internal::written(reply));
+               });
+}
+
+void control_node::noteReply(const std::string &body)
+{
+    const Json::Value object = internal::parsed(body);
+    auto waiting = m_calls.extract(internal::numberField(object, "id"));
+    if (!waiting.empty())
+        waiting.mapped().done({resultCodeFromName(internal::textField(object, "code")),
+                               internal::textField(object, "body")});
+}
+
+void control_node::expireCalls()
+{
+    const instant now = m_options.now();
+    for (auto each = m_calls.begin(); each != m_calls.end();) {
+        if (now < each->second.until) {
+            ++each;
+            continue;
+        }
+        const call_reply done = std::move(each->second.done);
+        each = m_calls.erase(each);
+        done({result_code::change_outcome_unknown, {}});
+    }
+}
+
+asio::awaitable<result_code> control_node::order(fleet_command command)
+{
+    call_text text{"order", encodeFleetCommand(command)};
+    const call_answer answer = co_await call(std::move(text));
+    co_return answer.code;
+}
+
+asio::awaitable<result_code> control_node::announce(upstream_life life)
+{
+    call_text text{"announce", encodeUpstreamLife(life)};
+    const call_answer answer = co_await call(std::move(text));
+    co_return answer.code;
+}
+
+asio::awaitable<result_code> control_node::withdraw(upstream_id id)
+{
+    call_text text{"withdraw", id.text()};
+    const call_answer answer = co_await call(std::move(text));
+    co_return answer.code;
+}
+
+asio::awaitable<std::optional<std::string>> control_node::readDocument()
+{
+    call_text text{"read", {}};
+    const call_answer answer = co_await call(std::move(text));
+    std::optional<std::string> document;
+    if (answer.code == result_code::ok)
+        document = answer.body;
+    co_return document;
+}
+
+} // namespace kingcuptiller
--- /dev/null
+++ b/src/node/control_links.cpp
@@ -0,0 +1,244 @@
+#include "kingcuptiller/node/control_node.h"
+
+#include "../consensus/peer_json.h"
+#include "kingcuptiller/telemetry/log.h"
+#include "kingcuptiller/values/error.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <exception>
+#include <utility>
+
+// The connections of a control host: to the other control hosts, and from entries.
+
+namespace kingcuptiller {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+constexpr milliseconds connectLimit{1'000};
+constexpr milliseconds dialPause{300};
+constexpr milliseconds acceptPause{50};
+
+auto into(error_code &problem)
+{
+    return asio::redirect_error(asio::use_awaitable, problem);
+}
+
+} // namespace
+
+asio::awaitable<void> control_node::acceptAll()
+{
+    while (m_acceptor.is_open()) {
+        error_code problem;
+        auto socket = co_await m_acceptor.async_accept(into(problem));
+        if (problem == asio::error::operation_aborted)
+            co_return;
+        if (problem) {
+            asio::steady_timer pause(m_context, acceptPause);
+            co_await pause.async_wait(into(problem));
+            continue;
+        }
+        const auto connection = std::make_shared<frame_connection>(std::move(socket));
+        m_accepted.insert(connection);
+        const std::weak_ptr<frame_connection> weak = connection;
+        connection->start(
+            [this, weak](const frame &received) {
+                if (const auto open = weak.lock())
+                    receive(open, received);
+            },
+            [this, weak] {
+                const auto closed = weak.lock();
+                m_entries.erase(closed.get());
+                m_accepted.erase(closed);
+            });
+    }
+}
+
+void control_node::noteHost(const host_id &host)
+{
+    if (host == m_options.host || host.empty())
+        return;
+    if (m_peers.try_emplace(host).second)
+        m_replica->addContact(host);
+}
+
+void control_node::dialPeers()
+{
+    const instant now = m_options.now();
+    for (auto &[host, link] : m_peers) {
+        if (link.connection || link.dialling || now < link.dialAgain)
+            continue;
+        link.dialling = true;
+        asio::co_spawn(m_context, dial(host), asio::detached);
+    }
+}
+
+asio::awaitable<void> control_node::dial(host_id host)
+{
+    asio::ip::tcp::socket socket(m_context);
+    error_code problem;
+    const auto address = asio::ip::make_address(host.text(), problem);
+    if (!problem) {
+        const auto timer = std::make_shared<asio::steady_timer>(m_context, connectLimit);
+        const auto connecting = std::make_shared<asio::ip::tcp::socket>(m_context);
+        timer->async_wait([connecting](error_code stopped) {
+            error_code ignored;
+            if (!stopped)
+                connecting->close(ignored);
+        });
+        co_await connecting->async_connect({address, m_options.port}, into(problem));
+        const bool timedOut = timer->cancel() == 0;
+        if (timedOut && !problem)
+            problem = asio::error::timed_out;
+        if (!problem)
+            socket = std::move(*connecting);
+    }
+    peer_link &link = m_peers[host];
+    link.dialling = false;
+    link.dialAgain = m_options.now() + dialPause;
+    if (problem)
+        co_return;
+    link.connection = std::make_shared<frame_connection>(std::move(socket));
+    log_line(log_level::info, "control", "peer_connected").field("host", host.text());
+    link.connection->start(
+        [](const frame &) {},
+        [this, host] {
+            log_line(log_level::warning, "control", "peer_disconnected").field("host", host.text());
+            m_peers[host].connection.reset();
+        });
+    introduce(*link.connection);
+}
+
+void control_node::introduce(frame_connection &connection)
+{
+    Json::Value object;
+    object["host"] = m_options.host.text();
+    Json::Value known(Json::arrayValue);
+    for (const auto &[host, link] : m_peers)
+        known.append(host.text());
+    object["known"] = known;
+    connection.send(frame_kind::introduction, internal::written(object));
+}
+
+void control_node::sendTo(const host_id &host, frame_kind kind, const std::string &body)
+{
+    const auto found = m_peers.find(host);
+    if (found != m_peers.end() && found->second.connection)
+        found->second.connection->send(kind, body);
+}
+
+void control_node::receive(const std::shared_ptr<frame_connection> &connection,
+                           const frame &received)
+{
+    try {
+        switch (received.kind) {
+        case frame_kind::introduction:
+            noteIntroduction(received.body);
+            break;
+        case frame_kind::peer:
+            m_replica->receive(decodePeerMessage(received.body), m_options.now());
+            scheduleRound();
+            break;
+        case frame_kind::call:
+            noteCall(received.body);
+            break;
+        case frame_kind::reply:
+            noteReply(received.body);
+            break;
+        case frame_kind::presence:
+            notePresence(connection, received.body);
+            break;
+        default:
+            break;
+        }
+    } catch (const error &failure) {
+        if (failure.code() == result_code::disk_failed)
+            throw;
+        log_line(log_level::warning, "control", "frame_refused").field("reason", failure.what());
+        connection->close();
+    }
+}
+
+void control_node::noteIntroduction(const std::string &body)
+{
+    const Json::Value object = internal::parsed(body);
+    const host_id host(internal::textField(object, "host"));
+    const bool isNew = !m_peers.contains(host);
+    noteHost(host);
+    for (const Json::Value &each : internal::arrayField(object, "known"))
+        noteHost(host_id(each.asString()));
+    // The others learn of a newcomer from those that know it.
+    if (!isNew)
+        return;
+    for (const auto &[other, link] : m_peers) {
+        if (link.connection)
+            introduce(*link.connection);
+    }
+}
+
+bool control_node::hasLeader() const
+{
+    return !m_replica->status().leader.empty();
+}
+
+void control_node::notePresence(const std::shared_ptr<frame_connection> &connection,
+                                const std::string &body)
+{
+    const Json::Value object = internal::parsed(body);
+    entry_feed &feed = m_entries[connection.get()];
+    feed.connection = connection;
+    feed.version = revision_number(internal::numberField(object, "version"));
+    feed.commands = internal::numberField(object, "commands");
+    const std::string entry = internal::textField(object, "entry");
+    if (!entry.empty())
+        passOn({internal::flagField(object, "serving") ? "entry" : "entry_gone", entry},
+               [](const call_answer &) {});
+    if (!hasLeader())
+        connection->send(frame_kind::stale, {});
+    else if (feed.commands == m_control->state().commands())
+        connection->send(frame_kind::current, {});
+    else if (feed.commands < m_control->state().commands())
+        sendView(feed);
+}
+
+void control_node::sendViews()
+{
+    const instant now = m_options.now();
+    if (now < m_viewsDue || !hasLeader())
+        return;
+    m_viewsDue = now + m_options.viewInterval;
+    for (auto &[connection, feed] : m_entries) {
+        if (feed.commands < m_control->state().commands())
+            sendView(feed);
+    }
+}
+
+void control_node::sendView(entry_feed &feed)
+{
+    const fleet_state &state = m_control->state();
+    fleet_view view;
+    view.commands = state.commands();
+    view.version = state.version();
+    if (feed.version < view.version)
+        view.document = state.document();
+    view.evacuated = state.evacuated();
+    for (const auto &[id, life] : state.upstreams()) {
+        if (life.state == upstream_state::serving)
+            view.upstreams.push_back(life);
+    }
+    for (const auto &[address, entry] : state.entries())
+        view.entries.push_back(entry);
+    for (const replica_identity &voter : m_replica->status().members.voters)
+        view.controlHosts.push_back(voter.host);
+    feed.version = view.version;
+    feed.commands = view.commands;
+    feed.connection->send(frame_kind::view, encodeFleetView(view));
+}
+
+} // namespace kingcuptiller
--- /dev/null
+++ b/src/node/control_node.cpp
@@ -0,0 +1,163 @@
+#include "kingcuptiller/node/control_node.h"
+
+#include "kingcuptiller/storage/disk.h"
+#include "kingcuptiller/telemetry/log.h"
+#include "kingcuptiller/values/error.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace kingcuptiller {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+control_node::control_node(asio::io_context &context, control_node_options options)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_acceptor(context)
+    , m_tick(context)
+{
+    m_options.replicas.hosts = m_options.seeds;
+    m_options.replicas.maximumVoters = m_options.maximumVoters;
+    openReplica(m_options.founding);
+    error_code problem;
+    const tcp_endpoint address(asio::ip::make_address(m_options.host.text()), m_options.port);
+    m_acceptor.open(address.protocol(), problem);
+    if (!problem)
+        m_acceptor.set_option(asio::socket_base::reuse_address(true), problem);
+    if (!problem)
+        m_acceptor.bind(address, problem);
+    if (!problem)
+        m_acceptor.listen(asio::socket_base::max_listen_connections, problem);
+    if (problem)
+        throw error(result_code::port_unavailable,
+                    "cannot listen on port " + std::to_string(m_options.port) + ": "
+                        + problem.message());
+    asio::co_spawn(m_context, acceptAll(), asio::detached);
+    for (const host_id &seed : m_options.seeds)
+        noteHost(seed);
+    dialPeers();
+    scheduleTick();
+}
+
+control_node::~control_node() = default;
+
+void control_node::openReplica(bool founding)
+{
+    m_replica.reset();
+    m_control = std::make_unique<fleet_control>(
+        m_options.fleet,
+        fleet_control_hooks{[this](const std::string &text) -> std::optional<fleet_log_place> {
+                                const auto index = m_replica->propose(text, m_options.now());
+                                if (!index)
+                                    return std::nullopt;
+                                scheduleRound();
+                                return fleet_log_place{*index, m_replica->status().term};
+                            },
+                            [this] { return m_replica->hasLease(m_options.now()); }});
+    if (!m_store) {
+        const auto open = [this](bool asFounder) {
+            return std::make_unique<replica_store>(
+                posixDisk(m_options.dataFolder),
+                store_options{m_options.host, asFounder,
+                              [this] { return fmt::format("{:016x}", m_options.random()); }});
+        };
+        try {
+            m_store = open(founding);
+        } catch (const error &failure) {
+            // The folder holds a replica already: the process was started again.
+            if (failure.code() != result_code::data_folder_not_founding)
+                throw;
+            m_store = open(false);
+        }
+    }
+    m_replica = std::make_unique<replica>(
+        m_options.replicas,
+        replica_hooks{[this] { return m_control->state().snapshot(); },
+                      [this](const std::string &state) { m_control->restore(state); },
+                      m_options.random},
+        *m_store, m_options.now());
+    log_line(log_level::info, "control", "replica_opened")
+        .field("host", m_options.host.text())
+        .field("incarnation", m_store->identity().incarnation.text())
+        .field("founding", m_store->founding() ? 1 : 0)
+        .field("last_index", m_store->lastIndex().number());
+}
+
+void control_node::scheduleTick()
+{
+    m_tick.expires_after(m_options.tickInterval);
+    m_tick.async_wait([this](error_code problem) {
+        if (problem)
+            return;
+        round();
+        scheduleTick();
+    });
+}
+
+void control_node::scheduleRound()
+{
+    if (std::exchange(m_roundScheduled, true))
+        return;
+    asio::post(m_context, [this] {
+        m_roundScheduled = false;
+        round();
+    });
+}
+
+void control_node::round()
+{
+    const instant now = m_options.now();
+    m_replica->tick(now);
+    sendOutgoing();
+    for (const committed_entry &each : m_replica->takeCommitted())
+        m_control->apply({each.index, each.term}, each.command);
+    followLeadership();
+    m_control->tick(now);
+    sendOutgoing();
+    noteEvents();
+    expireCalls();
+    dialPeers();
+    sendViews();
+    if (m_replica->status().superseded) {
+        log_line(log_level::warning, "control", "identity_abandoned")
+            .field("incarnation", m_store->identity().incarnation.text());
+        m_control->stopLeading();
+        m_replica.reset();
+        m_store->abandon();
+        openReplica(false);
+    }
+}
+
+void control_node::sendOutgoing()
+{
+    for (const peer_message &message : m_replica->takeOutgoing()) {
+        noteHost(message.to.host);
+        sendTo(message.to.host, frame_kind::peer, encodePeerMessage(message));
+    }
+}
+
+void control_node::followLeadership()
+{
+    const replica_status status = m_replica->status();
+    const bool leads = status.role == replica_role::leader;
+    if (m_control->isLeading() && (!leads || status.term != m_leadingTerm))
+        m_control->stopLeading();
+    if (!m_control->isLeading() && m_replica->hasLease(m_options.now())) {
+        m_leadingTerm = status.term;
+        m_control->startLeading(m_options.now());
+    }
+}
+
+void control_node::noteEvents()
+{
+    for (const replica_event &event : m_replica->takeEvents())
+        log_line(log_level::info, "control", event.kind).field("detail", event.detail);
+}
+
+} // namespace kingcuptiller
--- /dev/null
+++ b/src/node/entry_node.cpp
@@ -0,0 +1,205 @@
+#include "kingcuptiller/node/entry_node.h"
+
+#include "kingcuptiller/telemetry/log.h"
+#include "kingcuptiller/transport/system_clock.h"
+#include "kingcuptiller/values/error.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+namespace kingcuptiller {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+constexpr milliseconds tickInterval{1'000};
+// Clients go on using an address for some time after the directory stopped naming it; this part of
+// the shutdown limit is left for requests that were taken last.
+constexpr double acceptingShare = 0.45;
+// The process must be gone before it is killed.
+constexpr milliseconds shutdownReserve{300};
+constexpr milliseconds leavingCheck{50};
+
+relay_options relayOptions(const node_settings &settings, const entry_platform &platform)
+{
+    relay_options options;
+    options.headers = platform.headers;
+    options.choice.region = settings.region;
+    options.choice.zone = settings.zone;
+    options.choice.regions = settings.zones;
+    options.retries = {settings.retryShare, settings.retrySlack, settings.retryWindow};
+    options.now = readInstant;
+    return options;
+}
+
+} // namespace
+
+std::vector<serving_entry> nearestEntries(const std::vector<serving_entry> &entries,
+                                          const region_name &region, const zone_name &zone)
+{
+    std::vector<serving_entry> result;
+    const auto take = [&](const auto &isNear) {
+        if (result.empty())
+            std::copy_if(entries.begin(), entries.end(), std::back_inserter(result), isNear);
+    };
+    take([&](const serving_entry &entry) { return entry.zone == zone; });
+    take([&](const serving_entry &entry) { return entry.region == region; });
+    take([](const serving_entry &) { return true; });
+    return result;
+}
+
+// The thread of the feed and what it owns.
+class entry_node::feed_thread
+{
+public:
+    feed_thread(const node_settings &settings,
+                std::function<traffic_configuration(const std::string &)> decode,
+                std::function<void(fleet_view, std::optional<traffic_configuration>)> onView)
+        : m_decode(std::move(decode))
+        , m_onView(std::move(onView))
+        , m_work(asio::make_work_guard(m_context))
+        , m_feed(m_context,
+                 fleet_feed_options{
+                     settings.seeds, settings.internalPort,
+                     serving_entry{*settings.traffic, settings.region, settings.zone},
+                     milliseconds(500), milliseconds(1'500), milliseconds(5'000), readInstant},
+                 [this](const fleet_view &view) { receive(view); })
+        , m_thread([this] { m_context.run(); })
+    {
+    }
+
+    ~feed_thread()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+    feed_thread(const feed_thread &) = delete;
+    feed_thread &operator=(const feed_thread &) = delete;
+
+    void setServing(bool serving)
+    {
+        asio::post(m_context, [this, serving] { m_feed.setServing(serving); });
+    }
+
+private:
+    void receive(const fleet_view &view)
+    {
+        std::optional<traffic_configuration> configuration;
+        if (!view.document.empty()) {
+            try {
+                configuration = m_decode(view.document);
+            } catch (const error &failure) {
+                // Control hosts check a configuration before they accept it.
+                log_line(log_level::error, "entry", "configuration_refused")
+                    .field("version", view.version.number())
+                    .field("reason", failure.what());
+            }
+        }
+        m_onView(view, std::move(configuration));
+    }
+
+    std::function<traffic_configuration(const std::string &)> m_decode;
+    std::function<void(fleet_view, std::optional<traffic_configuration>)> m_onView;
+    asio::io_context m_context;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    fleet_feed m_feed;
+    std::thread m_thread;
+};
+
+entry_node::entry_node(asio::io_context &context, const node_settings &settings,
+                       entry_platform platform, counter_registry &counters)
+    : m_context(context)
+    , m_settings(settings)
+    , m_platform(std::move(platform))
+    , m_relay(context, relayOptions(settings, m_platform), counters)
+    , m_tick(context)
+    , m_leavingTimer(context)
+{
+    if (!m_settings.traffic)
+        throw error(result_code::settings_invalid, "an entry needs an address for traffic");
+    m_server = std::make_unique<traffic_server>(
+        m_context, toEndpoint(m_settings.traffic->text()),
+        [this](const relay_request &request, client_presence &client) {
+            return m_relay.handle(request, client);
+        },
+        [this] { return m_relay.limits(); });
+    m_feed = std::make_unique<feed_thread>(
+        m_settings, m_platform.decodeConfiguration,
+        [this](fleet_view view, std::optional<traffic_configuration> configuration) {
+            asio::post(m_context,
+                       [this, view = std::move(view), configuration = std::move(configuration)] {
+                           apply(view, configuration);
+                       });
+        });
+    scheduleTick();
+}
+
+entry_node::~entry_node() = default;
+
+void entry_node::apply(const fleet_view &view,
+                       const std::optional<traffic_configuration> &configuration)
+{
+    const bool wasReady = m_relay.ready();
+    m_view = view;
+    m_view.document.clear();
+    m_relay.update(view, configuration);
+    if (configuration)
+        log_line(log_level::info, "entry", "configuration_applied")
+            .field("version", configuration->version.number())
+            .field("routes", static_cast<std::uint64_t>(configuration->routes.size()));
+    if (!wasReady && ready()) {
+        log_line(log_level::info, "entry", "serves_requests");
+        m_feed->setServing(true);
+    }
+}
+
+void entry_node::scheduleTick()
+{
+    m_tick.expires_after(tickInterval);
+    m_tick.async_wait([this](error_code problem) {
+        if (problem)
+            return;
+        m_relay.tick();
+        scheduleTick();
+    });
+}
+
+void entry_node::leave(std::function<void()> done)
+{
+    if (std::exchange(m_leaving, true))
+        return;
+    log_line(log_level::info, "entry", "leaves");
+    m_feed->setServing(false);
+    const instant until = readInstant() + m_settings.shutdownLimit - shutdownReserve;
+    const auto accepting = milliseconds(static_cast<std::int64_t>(
+        static_cast<double>(m_settings.shutdownLimit.count()) * acceptingShare));
+    m_leavingTimer.expires_after(accepting);
+    m_leavingTimer.async_wait([this, until, done = std::move(done)](error_code problem) mutable {
+        if (problem)
+            return;
+        m_server->stopAccepting();
+        m_server->startLeaving();
+        finishLeaving(std::move(done), until);
+    });
+}
+
+void entry_node::finishLeaving(std::function<void()> done, instant until)
+{
+    if (m_server->requestsInProgress() == 0 || readInstant() >= until) {
+        done();
+        return;
+    }
+    m_leavingTimer.expires_after(leavingCheck);
+    m_leavingTimer.async_wait([this, until, done = std::move(done)](error_code problem) mutable {
+        if (!problem)
+            finishLeaving(std::move(done), until);
+    });
+}
+
+} // namespace kingcuptiller
--- /dev/null
+++ b/src/relay/request_relay.cpp
@@ -0,0 +1,409 @@
+#include "kingcuptiller/relay/request_relay.h"
+
+#include "kingcuptiller/telemetry/log.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <exception>
+#include <set>
+#include <utility>
+
+namespace kingcuptiller {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+
+namespace {
+
+// Shorter than this, no upstream can answer, and the sending would only cost it work.
+constexpr milliseconds shortestSending{5};
+constexpr milliseconds retryAfterNoUpstream{500};
+
+std::string_view view(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+std::optional<std::int64_t> numberIn(std::string_view text)
+{
+    std::int64_t value = 0;
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (read.ec != std::errc() || read.ptr != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+std::optional<upstream_load> loadIn(std::string_view text)
+{
+    std::array<std::int64_t, 3> numbers{};
+    for (std::size_t i = 0; i < numbers.size(); ++i) {
+        const std::size_t comma = std::min(text.find(','), text.size());
+        const auto number = numberIn(text.substr(0, comma));
+        if (!number || *number < 0 || *number > 1'000'000)
+            return std::nullopt;
+        numbers[i] = *number;
+        text.remove_prefix(std::min(comma + 1, text.size()));
+    }
+    return upstream_load{static_cast<std::uint32_t>(numbers[0]),
+                         static_cast<std::uint32_t>(numbers[1]),
+                         static_cast<std::uint32_t>(numbers[2])};
+}
+
+// Headers that concern one connection only, and those that `Connection` names.
+void eraseConnectionHeaders(http::fields &fields)
+{
+    std::set<std::string> named;
+    const auto list = std::string(view(fields[http::field::connection]));
+    for (const auto &token : http::token_list(list))
+        named.emplace(view(token));
+    for (const std::string &each : named)
+        fields.erase(each);
+    for (const http::field each :
+         {http::field::connection, http::field::keep_alive, http::field::proxy_connection,
+          http::field::te, http::field::trailer, http::field::transfer_encoding,
+          http::field::upgrade, http::field::expect})
+        fields.erase(each);
+}
+
+} // namespace
+
+struct request_relay::journey
+{
+    const relay_request &request;
+    client_presence &client;
+    const traffic_route &route;
+    service_name service;
+    std::string object;
+    instant arrived;
+    // When the client must have its answer.
+    instant due;
+    std::set<upstream_id> tried;
+    // An earlier sending may have run.
+    bool mayHaveRun = false;
+    // The answer of an upstream that failed an idempotent request.
+    std::optional<relay_response> failure;
+};
+
+request_relay::request_relay(asio::io_context &context, relay_options options,
+                             counter_registry &counters)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_counters(counters)
+    , m_choice(m_options.choice)
+    , m_budget(m_options.retries)
+{
+}
+
+void request_relay::update(const fleet_view &view,
+                           const std::optional<traffic_configuration> &configuration)
+{
+    if (configuration && (m_routes == nullptr || configuration->version > m_version)) {
+        m_routes = std::make_shared<const route_table>(*configuration);
+        m_limits = configuration->limits;
+        m_version = configuration->version;
+    }
+    m_budget.setEntries(view.entries.size());
+    m_choice.update(view, m_routes ? *m_routes : route_table(), m_options.now());
+}
+
+client_limits request_relay::limits() const
+{
+    return m_limits;
+}
+
+void request_relay::tick()
+{
+    m_connections.closeIdle(m_options.now());
+}
+
+const service_name &request_relay::partOf(const traffic_route &route)
+{
+    if (route.parts.size() == 1)
+        return route.parts.front().service;
+    // The part that is furthest behind its weight, so that the shares hold at any moment.
+    auto &served = m_partsServed[route.name];
+    const route_part *next = nullptr;
+    double least = 0;
+    for (const route_part &part : route.parts) {
+        if (part.weight <= 0)
+            continue;
+        const double after = (served[part.service] + 1) / part.weight;
+        if (next == nullptr || after < least) {
+            next = &part;
+            least = after;
+        }
+    }
+    served[next->service] += 1;
+    return next->service;
+}
+
+asio::awaitable<relay_response> request_relay::handle(const relay_request &request,
+                                                      client_presence &client)
+{
+    const instant now = m_options.now();
+    // Holds the routes while the request is carried, whatever is applied meanwhile.
+    const auto routes = m_routes;
+    if (!routes) {
+        relay_response answer =
+            ownAnswer(http::status::service_unavailable, "no configuration is known yet\n");
+        answer.set(m_options.headers.retryAfter, "0.5");
+        co_return answer;
+    }
+    const auto target = view(request.target());
+    const traffic_route *const route =
+        routes->find(view(request[http::field::host]), target.substr(0, target.find('?')));
+    if (route == nullptr) {
+        m_counters.get("kct_relay_requests", {{"outcome", "no_route"}}).add();
+        co_return ownAnswer(http::status::not_found, "no route matches\n");
+    }
+    const auto allowed = numberIn(view(request[m_options.headers.timeLeft]));
+    const milliseconds clientLimit =
+        allowed && *allowed > 0 ? milliseconds(*allowed) : m_options.usualTimeLimit;
+    journey trip{request,
+                 client,
+                 *route,
+                 partOf(*route),
+                 route->affinity ? std::string(view(request[m_options.headers.object]))
+                                 : std::string(),
+                 now,
+                 now + std::min(clientLimit, route->timeout) - m_options.answerReserve,
+                 {},
+                 false,
+                 std::nullopt};
+    m_budget.request(trip.service, now);
+    co_return co_await carry(trip);
+}
+
+asio::awaitable<relay_response> request_relay::carry(journey &trip)
+{
+    for (std::uint32_t sent = 0;; ++sent) {
+        const instant now = m_options.now();
+        const auto left = std::chrono::duration_cast<milliseconds>(trip.due - now);
+        if (trip.client.hasLeft())
+            co_return openEnd(trip, "client_left");
+        if (left <= shortestSending)
+            co_return trip.mayHaveRun ? openEnd(trip, "time_over")
+                                      : refusal(trip, "time_over", milliseconds(0));
+        if (sent > 0 && (sent >= trip.route.maximumAttempts || !m_budget.spend(trip.service, now)))
+            co_return trip.mayHaveRun ? openEnd(trip, "attempts_used")
+                                      : refusal(trip, "attempts_used", retryAfterNoUpstream);
+        no_choice reason;
+        const auto upstream = m_choice.choose({trip.service, trip.object, trip.route.regions,
+                                               trip.route.latencyTarget, left, trip.tried},
+                                              now, reason);
+        if (!upstream)
+            co_return trip.mayHaveRun
+                ? openEnd(trip, "no_upstream")
+                : refusal(trip, reason.noneKnown ? "no_upstream" : "all_busy", reason.retryAfter);
+        trip.tried.insert(upstream->life.id);
+        if (auto answer = co_await attempt(trip, *upstream))
+            co_return std::move(*answer);
+    }
+}
+
+asio::awaitable<std::optional<relay_response>>
+request_relay::attempt(journey &trip, const chosen_upstream &upstream)
+{
+    const instant sent = m_options.now();
+    const bool familiar = m_choice.started(upstream.life.id, trip.object, sent);
+    sending_result result = co_await sendTo(trip, upstream);
+    const sending_outcome outcome =
+        trip.client.hasLeft() && result.kind != sending_result::end::answered
+        ? sending_outcome::abandoned
+        : judge(result);
+    noteLoad(upstream, result, outcome, familiar, sent);
+    log_line(log_level::debug, "relay", "attempt_ended")
+        .field("request", view(trip.request[m_options.headers.requestId]))
+        .field("upstream", upstream.life.id.text())
+        .field("outcome", static_cast<int>(outcome));
+    switch (outcome) {
+    case sending_outcome::answered:
+        logEnd(trip, "answered", "");
+        co_return handedOn(result.answer);
+    case sending_outcome::failed:
+        if (trip.route.idempotent && trip.tried.size() < trip.route.maximumAttempts) {
+            trip.mayHaveRun = true;
+            trip.failure = handedOn(result.answer);
+            co_return std::nullopt;
+        }
+        logEnd(trip, "failed", "upstream_failed");
+        co_return handedOn(result.answer);
+    case sending_outcome::unreachable:
+    case sending_outcome::shed:
+    case sending_outcome::replaced:
+        co_return std::nullopt;
+    case sending_outcome::broken:
+        trip.mayHaveRun = true;
+        if (trip.route.idempotent && result.kind == sending_result::end::broken)
+            co_return std::nullopt;
+        co_return openEnd(trip,
+                          result.kind == sending_result::end::timed_out ? "time_over"
+                                                                        : "connection_broken");
+    case sending_outcome::abandoned:
+        trip.mayHaveRun = true;
+        co_return openEnd(trip, "client_left");
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<sending_result> request_relay::sendTo(journey &trip,
+                                                      const chosen_upstream &upstream)
+{
+    sending_result nothingSent;
+    const endpoint_address &address = upstream.life.address;
+    auto connection = m_connections.take(address, m_options.now());
+    if (!connection) {
+        connection = std::make_shared<upstream_connection>(m_context);
+        const instant began = m_options.now();
+        tcp_endpoint endpoint;
+        try {
+            endpoint = toEndpoint(address.text());
+        } catch (const std::exception &) {
+            co_return nothingSent;
+        }
+        const auto left = std::chrono::duration_cast<milliseconds>(trip.due - began);
+        if (!co_await openConnection(m_context, connection, endpoint,
+                                     std::min(left, m_options.connectLimit)))
+            co_return nothingSent;
+        m_choice.noteRoundTrip(upstream.life.zone, m_options.now() - began);
+        m_counters.get("kct_relay_connections_opened").add();
+    }
+    const auto left = std::chrono::duration_cast<milliseconds>(trip.due - m_options.now());
+    if (trip.client.hasLeft() || left <= shortestSending)
+        co_return nothingSent;
+    // The upstream stops a request whose connection closes. One that must not be repeated runs to
+    // its end, because breaking it off would leave its outcome open.
+    if (trip.route.idempotent)
+        trip.client.onLeave([connection] {
+            error_code ignored;
+            connection->socket.close(ignored);
+        });
+    // Temporaries in an awaited call are destroyed twice by g++ 12, so arguments have names.
+    const std::shared_ptr<const relay_request> request = forwarded(trip, upstream.life);
+    sending_result result =
+        co_await exchange(m_context, connection, request, m_options.headers, left);
+    trip.client.onLeave({});
+    if (result.kind == sending_result::end::answered)
+        m_connections.keep(address, connection, result.answer, m_options.now());
+    co_return result;
+}
+
+std::shared_ptr<const relay_request> request_relay::forwarded(const journey &trip,
+                                                              const upstream_life &life) const
+{
+    auto request = std::make_shared<relay_request>(trip.request);
+    const bool hadLength = request->has_content_length() || request->chunked();
+    eraseConnectionHeaders(*request);
+    const auto left = std::chrono::duration_cast<milliseconds>(trip.due - m_options.now());
+    request->set(m_options.headers.timeLeft,
+                 std::to_string(std::max(left, milliseconds(1)).count()));
+    request->set(m_options.headers.expectedUpstream, life.id.text());
+    request->version(11);
+    if (hadLength)
+        request->content_length(request->body().size());
+    return request;
+}
+
+sending_outcome request_relay::judge(const sending_result &result) const
+{
+    switch (result.kind) {
+    case sending_result::end::not_sent:
+        return sending_outcome::unreachable;
+    case sending_result::end::abandoned:
+        return sending_outcome::abandoned;
+    case sending_result::end::broken:
+    case sending_result::end::timed_out:
+        return sending_outcome::broken;
+    case sending_result::end::answered:
+        break;
+    }
+    const relay_response &answer = result.answer;
+    const bool notRun = answer.find(m_options.headers.notRun) != answer.end();
+    if (answer.result() == http::status::misdirected_request)
+        return sending_outcome::replaced;
+    if (notRun)
+        return sending_outcome::shed;
+    const bool sealed = answer.find(m_options.headers.seal) != answer.end();
+    if (answer.result_int() >= 200 && answer.result_int() < 300)
+        return sealed && answer.find(http::field::content_encoding) == answer.end()
+            ? sending_outcome::answered
+            : sending_outcome::broken;
+    return answer.result_int() >= 500 ? sending_outcome::failed : sending_outcome::answered;
+}
+
+void request_relay::noteLoad(const chosen_upstream &upstream, const sending_result &result,
+                             sending_outcome outcome, bool familiar, instant sent)
+{
+    const instant now = m_options.now();
+    std::optional<upstream_load> load;
+    if (result.kind == sending_result::end::answered) {
+        load = loadIn(view(result.answer[m_options.headers.load]));
+        if (const auto cold = numberIn(view(result.answer[m_options.headers.cold]));
+            cold && *cold > 0)
+            m_choice.noteCold(upstream.life.id, milliseconds(*cold), now);
+    }
+    m_choice.finished(upstream.life.id, familiar, outcome, now - sent, load, now);
+}
+
+relay_response request_relay::handedOn(const relay_response &answer) const
+{
+    relay_response result = answer;
+    eraseConnectionHeaders(result);
+    result.version(11);
+    if (result.result() != http::status::no_content && result.result() != http::status::not_modified
+        && !result.has_content_length())
+        result.content_length(result.body().size());
+    return result;
+}
+
+relay_response request_relay::refusal(journey &trip, std::string_view reason,
+                                      milliseconds retryAfter)
+{
+    logEnd(trip, "refused", reason);
+    relay_response answer =
+        ownAnswer(http::status::service_unavailable, fmt::format("not run: {}\n", reason));
+    if (retryAfter > milliseconds(0))
+        answer.set(m_options.headers.retryAfter,
+                   fmt::format("{:.2f}", static_cast<double>(retryAfter.count()) / 1'000));
+    return answer;
+}
+
+relay_response request_relay::openEnd(journey &trip, std::string_view reason)
+{
+    logEnd(trip, "open_end", reason);
+    if (trip.failure)
+        return std::move(*trip.failure);
+    return ownAnswer(reason == "time_over" ? http::status::gateway_timeout
+                                           : http::status::bad_gateway,
+                     fmt::format("the outcome is not known: {}\n", reason));
+}
+
+void request_relay::logEnd(const journey &trip, std::string_view outcome,
+                           std::string_view reason) const
+{
+    m_counters
+        .get("kct_relay_requests",
+             {{"outcome", std::string(outcome)}, {"reason", std::string(reason)}})
+        .add();
+    const auto elapsed =
+        std::chrono::duration_cast<milliseconds>(m_options.now() - trip.arrived).count();
+    log_line line(log_level::info, "relay", "request_ended");
+    line.field("request", view(trip.request[m_options.headers.requestId]))
+        .field("route", trip.route.name)
+        .field("service", trip.service.text())
+        .field("version", m_version.number())
+        .field("object", trip.object)
+        .field("outcome", outcome)
+        .field("reason", reason)
+        .field("sendings", static_cast<std::uint64_t>(trip.tried.size()))
+        .field("elapsed_ms", std::int64_t(elapsed));
+    if (!trip.tried.empty())
+        line.field("last_tried", trip.tried.rbegin()->text());
+}
+
+} // namespace kingcuptiller
--- /dev/null
+++ b/src/relay/upstream_choice.cpp
@@ -0,0 +1,320 @@
+#include "kingcuptiller/relay/upstream_choice.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace kingcuptiller {
+
+namespace {
+
+// How fast an estimate follows observations: the weight of the newest one.
+constexpr double durationWeight = 0.05;
+constexpr double slownessWeight = 0.15;
+constexpr double failureWeight = 0.1;
+constexpr double lowestSlowness = 0.7;
+constexpr double highestSlowness = 12;
+// A report of other entries' requests loses its meaning with the time that such a request takes.
+constexpr double reportMemoryMs = 1'000;
+// An upstream with so many requests waiting for each slot is full: it refuses more.
+constexpr double waitingForEachSlot = 2.0;
+// A share of the time left that the expected answer may take.
+constexpr double usableTimeShare = 0.9;
+constexpr milliseconds firstAvoidance{500};
+constexpr milliseconds longestAvoidance{8'000};
+constexpr milliseconds shedAvoidance{100};
+constexpr std::uint32_t failuresToAvoid = 3;
+// A failing upstream costs a repeat, which takes about as long as another try.
+constexpr double failurePenaltyMs = 1'500;
+constexpr double coldFactor = 2;
+// Upstreams are told apart for an object that none of them knows by this much of a millisecond
+// range, so that all entries pick the same one.
+constexpr double spreadMs = 30;
+// A silent upstream is used only when nothing else is there.
+constexpr double silencePenaltyMs = 2'000;
+// The cold rate of all entries together stays below the tolerated one by this factor, because an
+// entry that is cut off may not know how many share it.
+constexpr double coldRateShare = 0.8;
+
+double toMs(microseconds duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+double spreadOf(const std::string &object, const upstream_id &id)
+{
+    const std::uint64_t seed = XXH3_64bits(object.data(), object.size());
+    const std::uint64_t hash = XXH3_64bits_withSeed(id.text().data(), id.text().size(), seed);
+    return static_cast<double>(hash)
+        / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
+} // namespace
+
+upstream_choice::upstream_choice(choice_settings settings)
+    : m_settings(std::move(settings))
+{
+}
+
+void upstream_choice::noteColdStart(upstream_record &upstream, milliseconds coldFor,
+                                    instant now) const
+{
+    if (coldFor <= milliseconds(0))
+        return;
+    if (upstream.coldUntil < now) {
+        upstream.coldTokens = 1;
+        upstream.coldCounted = now;
+        upstream.objects = {};
+    }
+    upstream.coldUntil = std::max(upstream.coldUntil, now + coldFor);
+}
+
+void upstream_choice::update(const fleet_view &view, const route_table &routes, instant now)
+{
+    std::map<upstream_id, upstream_record> former = std::exchange(m_upstreams, {});
+    const std::set<zone_name> formerlyEvacuated = std::exchange(m_evacuated, view.evacuated);
+    for (auto &[name, service] : m_services)
+        service.members.clear();
+    m_entries = std::max<std::size_t>(m_entries, view.entries.size());
+    for (const upstream_life &life : view.upstreams) {
+        if (life.state != upstream_state::serving)
+            continue;
+        upstream_record record;
+        const auto known = former.find(life.id);
+        const bool goesOn = known != former.end() && known->second.life.bornMs == life.bornMs;
+        if (goesOn)
+            record = std::move(known->second);
+        const bool coldNews = !goesOn || record.life.sequence != life.sequence;
+        record.life = life;
+        const auto region = m_settings.regions.find(life.zone);
+        record.region = region == m_settings.regions.end() ? region_name() : region->second;
+        record.evacuated = view.evacuated.contains(life.zone);
+        service_record &service = m_services[life.service];
+        if (const service_settings *settings = routes.service(life.service)) {
+            service.coldRequestsPerSecond = settings->coldRequestsPerSecond;
+            service.coldTime = settings->coldTime;
+        }
+        service.members.push_back(life.id);
+        if (coldNews)
+            noteColdStart(record, life.coldFor, now);
+        // The upstreams of a zone that is taken back may have become cold meanwhile.
+        if (formerlyEvacuated.contains(life.zone) && !record.evacuated)
+            noteColdStart(record, service.coldTime, now);
+        m_upstreams.emplace(life.id, std::move(record));
+    }
+}
+
+double upstream_choice::loadOf(const upstream_record &upstream, instant now) const
+{
+    const double age = toMs(now - upstream.reported);
+    return upstream.inFlight + upstream.others * std::exp(-std::max(age, 0.0) / reportMemoryMs);
+}
+
+double upstream_choice::networkMs(const upstream_record &upstream) const
+{
+    if (upstream.region == m_settings.region)
+        return 1;
+    const auto measured = m_roundTripMs.find(upstream.region);
+    return measured == m_roundTripMs.end()
+        ? static_cast<double>(m_settings.otherRegionRoundTrip.count())
+        : measured->second;
+}
+
+double upstream_choice::placePenaltyMs(const upstream_record &upstream) const
+{
+    if (upstream.life.zone == m_settings.zone)
+        return 0;
+    return static_cast<double>((upstream.region == m_settings.region
+                                    ? m_settings.otherZonePenalty
+                                    : m_settings.otherRegionPenalty)
+                                   .count());
+}
+
+double upstream_choice::expectedMs(const upstream_record &upstream, const service_record &service,
+                                   const std::string &object, instant now) const
+{
+    const bool familiar = !object.empty() && upstream.objects.places.contains(object);
+    double work = (familiar ? service.familiarMs : service.unfamiliarMs) * upstream.slowness;
+    if (now < upstream.coldUntil)
+        work *= coldFactor;
+    const double slots = std::max<double>(upstream.life.slots, 1);
+    const double ahead = loadOf(upstream, now) + 1 - slots;
+    const double waiting = ahead > 0 ? ahead / slots * service.familiarMs * upstream.slowness : 0;
+    return networkMs(upstream) + waiting + work;
+}
+
+void upstream_choice::refillColdTokens(upstream_record &upstream, const service_record &service,
+                                       instant now) const
+{
+    const double rate = service.coldRequestsPerSecond * coldRateShare
+        / static_cast<double>(std::max<std::size_t>(m_entries, 1));
+    upstream.coldTokens =
+        std::min(1.0, upstream.coldTokens + toMs(now - upstream.coldCounted) / 1'000 * rate);
+    upstream.coldCounted = now;
+}
+
+bool upstream_choice::mayUse(upstream_record &upstream, const service_record &service,
+                             const choice_request &request, instant now) const
+{
+    if (upstream.evacuated || now < upstream.avoidUntil || request.tried.contains(upstream.life.id)
+        || (!request.regions.empty() && !request.regions.contains(upstream.region)))
+        return false;
+    if (loadOf(upstream, now) >= upstream.life.slots * (1 + waitingForEachSlot))
+        return false;
+    if (now < upstream.coldUntil && service.coldRequestsPerSecond > 0) {
+        refillColdTokens(upstream, service, now);
+        return upstream.coldTokens >= 1;
+    }
+    return true;
+}
+
+std::optional<chosen_upstream> upstream_choice::choose(const choice_request &request, instant now,
+                                                       no_choice &reason)
+{
+    const auto service = m_services.find(request.service);
+    reason.noneKnown = service == m_services.end() || service->second.members.empty();
+    if (reason.noneKnown)
+        return std::nullopt;
+    upstream_record *best = nullptr;
+    double bestCost = std::numeric_limits<double>::max();
+    double bestExpected = 0;
+    for (const upstream_id &id : service->second.members) {
+        upstream_record &upstream = m_upstreams.at(id);
+        if (!mayUse(upstream, service->second, request, now))
+            continue;
+        const double expected = expectedMs(upstream, service->second, request.object, now);
+        const double cost = expected + placePenaltyMs(upstream)
+            + upstream.failureShare * failurePenaltyMs
+            + (upstream.life.silent ? silencePenaltyMs : 0)
+            + spreadOf(request.object, id) * spreadMs;
+        if (cost < bestCost) {
+            best = &upstream;
+            bestCost = cost;
+            bestExpected = expected;
+        }
+    }
+    if (best == nullptr
+        || bestExpected > static_cast<double>(request.timeLeft.count()) * usableTimeShare)
+        return std::nullopt;
+    return chosen_upstream{best->life, milliseconds(std::llround(bestExpected))};
+}
+
+bool upstream_choice::started(const upstream_id &id, const std::string &object, instant now)
+{
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end())
+        return false;
+    const bool familiar = !object.empty() && found->second.objects.places.contains(object);
+    ++found->second.inFlight;
+    if (now < found->second.coldUntil)
+        found->second.coldTokens -= 1;
+    // Requests for one object that arrive together run at one upstream.
+    remember(found->second, object);
+    return familiar;
+}
+
+void upstream_choice::remember(upstream_record &upstream, const std::string &object) const
+{
+    if (object.empty())
+        return;
+    auto &[order, places] = upstream.objects;
+    const auto known = places.find(object);
+    if (known != places.end()) {
+        order.splice(order.begin(), order, known->second);
+        return;
+    }
+    order.push_front(object);
+    places[object] = order.begin();
+    if (order.size() > m_settings.rememberedObjects) {
+        places.erase(order.back());
+        order.pop_back();
+    }
+}
+
+void upstream_choice::noteFailure(upstream_record &upstream, sending_outcome outcome, instant now)
+{
+    if (outcome == sending_outcome::shed) {
+        upstream.avoidUntil = std::max(upstream.avoidUntil, now + shedAvoidance);
+        return;
+    }
+    if (outcome == sending_outcome::replaced) {
+        // Only a new announcement tells which lifetime is there now.
+        upstream.avoidUntil = now + longestAvoidance;
+        return;
+    }
+    upstream.failureShare += (1 - upstream.failureShare) * failureWeight;
+    ++upstream.failuresInRow;
+    if (outcome != sending_outcome::unreachable && upstream.failuresInRow < failuresToAvoid)
+        return;
+    upstream.lastAvoidance =
+        std::clamp(upstream.lastAvoidance * 2, firstAvoidance, longestAvoidance);
+    upstream.avoidUntil = now + upstream.lastAvoidance;
+}
+
+void upstream_choice::noteDuration(upstream_record &upstream, bool familiar, microseconds elapsed,
+                                   instant now)
+{
+    service_record &service = m_services[upstream.life.service];
+    // Time in the upstream's queue says nothing about its work.
+    if (loadOf(upstream, now) + 1 > upstream.life.slots || now < upstream.coldUntil)
+        return;
+    const double work = std::max(toMs(elapsed) - networkMs(upstream), 1.0);
+    double &usual = familiar ? service.familiarMs : service.unfamiliarMs;
+    upstream.slowness +=
+        (std::clamp(work / usual, lowestSlowness, highestSlowness) - upstream.slowness)
+        * slownessWeight;
+    upstream.slowness = std::clamp(upstream.slowness, lowestSlowness, highestSlowness);
+    usual += (work - usual) * durationWeight / std::max(upstream.slowness, 1.0);
+}
+
+void upstream_choice::finished(const upstream_id &id, bool familiar, sending_outcome outcome,
+                               microseconds elapsed, const std::optional<upstream_load> &load,
+                               instant now)
+{
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end())
+        return;
+    upstream_record &upstream = found->second;
+    if (upstream.inFlight > 0)
+        --upstream.inFlight;
+    if (load) {
+        upstream.others =
+            std::max(0.0, static_cast<double>(load->running) + load->waiting - upstream.inFlight);
+        upstream.reported = now;
+    }
+    if (outcome == sending_outcome::abandoned)
+        return;
+    if (outcome != sending_outcome::answered) {
+        noteFailure(upstream, outcome, now);
+        return;
+    }
+    upstream.failuresInRow = 0;
+    upstream.lastAvoidance = milliseconds(0);
+    upstream.failureShare *= 1 - failureWeight;
+    noteDuration(upstream, familiar, elapsed, now);
+}
+
+void upstream_choice::noteRoundTrip(const zone_name &zone, microseconds elapsed)
+{
+    const auto region = m_settings.regions.find(zone);
+    if (region == m_settings.regions.end())
+        return;
+    const auto known = m_roundTripMs.find(region->second);
+    if (known == m_roundTripMs.end())
+        m_roundTripMs[region->second] = toMs(elapsed);
+    else
+        known->second = std::min(known->second * 1.05, std::max(toMs(elapsed), 0.1));
+}
+
+void upstream_choice::noteCold(const upstream_id &id, milliseconds remaining, instant now)
+{
+    const auto found = m_upstreams.find(id);
+    if (found != m_upstreams.end())
+        noteColdStart(found->second, remaining, now);
+}
+
+} // namespace kingcuptiller
--- /dev/null
+++ b/src/relay/upstream_connections.cpp
@@ -0,0 +1,203 @@
+#include "kingcuptiller/relay/upstream_connections.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+namespace kingcuptiller {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+
+namespace {
+
+// Connections without an announced idle time are kept for this long.
+constexpr milliseconds usualIdle{4'000};
+// Part of the announced idle time for which a connection is used again: a request must not cross
+// the upstream's close.
+constexpr double usableIdleShare = 0.6;
+// Answers to other requests that may precede the awaited one.
+constexpr int droppedAnswers = 3;
+// A connection whose bytes are not acknowledged for this long is dead.
+constexpr int unacknowledgedMs = 2'000;
+
+auto into(error_code &problem)
+{
+    return asio::redirect_error(asio::use_awaitable, problem);
+}
+
+// True when the peer has closed the connection or sent bytes that nobody asked for.
+bool isDisturbed(asio::ip::tcp::socket &socket)
+{
+    char byte = 0;
+    const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+// Closes a connection's socket when the time is over. The handler of the timer may still be queued
+// when this object ends, so both share what it touches.
+class socket_time_limit
+{
+public:
+    socket_time_limit(asio::io_context &context, std::shared_ptr<upstream_connection> connection,
+                      milliseconds limit)
+        : m_timer(context, limit)
+        , m_state(std::make_shared<limit_state>())
+    {
+        m_timer.async_wait([state = m_state, connection](error_code problem) {
+            error_code ignored;
+            if (problem || state->ended)
+                return;
+            state->passed = true;
+            connection->socket.close(ignored);
+        });
+    }
+    ~socket_time_limit() { m_state->ended = true; }
+    socket_time_limit(const socket_time_limit &) = delete;
+    socket_time_limit &operator=(const socket_time_limit &) = delete;
+
+    [[nodiscard]] bool passed() const { return m_state->passed; }
+
+private:
+    struct limit_state
+    {
+        bool ended = false;
+        bool passed = false;
+    };
+
+    asio::steady_timer m_timer;
+    std::shared_ptr<limit_state> m_state;
+};
+
+milliseconds announcedIdle(const relay_response &answer)
+{
+    const auto text = answer[http::field::keep_alive];
+    const std::string_view value(text.data(), text.size());
+    const std::size_t place = value.find("timeout=");
+    unsigned seconds = 0;
+    if (place == std::string_view::npos
+        || std::from_chars(value.data() + place + 8, value.data() + value.size(), seconds).ec
+            != std::errc())
+        return usualIdle;
+    return std::chrono::seconds(seconds);
+}
+
+bool belongsTo(const relay_response &answer, const relay_request &request,
+               const relay_headers &headers)
+{
+    const auto echoed = answer.find(headers.requestId);
+    return echoed == answer.end() || echoed->value() == request[headers.requestId];
+}
+
+} // namespace
+
+std::shared_ptr<upstream_connection> upstream_connections::take(const endpoint_address &address,
+                                                                instant now)
+{
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end())
+        return nullptr;
+    auto &idle = found->second;
+    while (!idle.empty()) {
+        std::shared_ptr<upstream_connection> connection = std::move(idle.back());
+        idle.pop_back();
+        if (now - connection->idleSince < connection->usableIdle
+            && !isDisturbed(connection->socket))
+            return connection;
+    }
+    return nullptr;
+}
+
+void upstream_connections::keep(const endpoint_address &address,
+                                std::shared_ptr<upstream_connection> connection,
+                                const relay_response &answer, instant now)
+{
+    // Bytes behind a complete answer belong to no request.
+    if (!answer.keep_alive() || connection->buffer.size() > 0)
+        return;
+    connection->reused = true;
+    connection->idleSince = now;
+    connection->usableIdle = milliseconds(static_cast<std::int64_t>(
+        static_cast<double>(announcedIdle(answer).count()) * usableIdleShare));
+    m_idle[address].push_back(std::move(connection));
+}
+
+void upstream_connections::closeIdle(instant now)
+{
+    for (auto &[address, idle] : m_idle) {
+        std::erase_if(idle, [&](const auto &connection) {
+            return now - connection->idleSince >= connection->usableIdle;
+        });
+    }
+    std::erase_if(m_idle, [](const auto &each) { return each.second.empty(); });
+}
+
+asio::awaitable<bool> openConnection(asio::io_context &context,
+                                     std::shared_ptr<upstream_connection> connection,
+                                     tcp_endpoint address, milliseconds limit)
+{
+    const socket_time_limit timeLimit(context, connection, limit);
+    auto &socket = connection->socket;
+    error_code problem;
+    co_await socket.async_connect(address, into(problem));
+    if (problem || !socket.is_open())
+        co_return false;
+    error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    const int limitMs = unacknowledgedMs;
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limitMs, sizeof limitMs);
+    co_return true;
+}
+
+asio::awaitable<sending_result> exchange(asio::io_context &context,
+                                         std::shared_ptr<upstream_connection> connection,
+                                         std::shared_ptr<const relay_request> request,
+                                         const relay_headers &headers, milliseconds limit)
+{
+    sending_result result;
+    result.kind = sending_result::end::broken;
+    auto &socket = connection->socket;
+    const socket_time_limit timeLimit(context, connection, limit);
+    const auto written = std::make_shared<bool>(false);
+    // The handler keeps both alive, because an early answer ends the sending before the writing.
+    http::async_write(
+        socket, *request,
+        [connection, request, written](error_code problem, std::size_t) { *written = !problem; });
+    error_code problem;
+    for (int round = 0; round <= droppedAnswers && !problem; ++round) {
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(boost::none);
+        parser.skip(request->method() == http::verb::head);
+        co_await http::async_read(socket, connection->buffer, parser, into(problem));
+        if (problem || parser.get().result_int() < 200)
+            continue;
+        if (belongsTo(parser.get(), *request, headers)) {
+            result.kind = sending_result::end::answered;
+            result.answer = parser.release();
+            // After a foreign answer, or in the middle of the request, the next answer on this
+            // connection could not be told apart.
+            if (round > 0 || !*written)
+                result.answer.keep_alive(false);
+            break;
+        }
+    }
+    if (result.kind != sending_result::end::answered && timeLimit.passed())
+        result.kind = sending_result::end::timed_out;
+    co_return result;
+}
+
+} // namespace kingcuptiller
