Limit the shift between regions by cost; serve views from current control hosts only

Views: a control host that was started again knew a leader before it had applied what was committed, and could show entries an older state.

--- a/include/kingcuptiller/consensus/replica.h
+++ b/include/kingcuptiller/consensus/replica.h
@@ -110,6 +110,10 @@
     // Whether this replica is certainly the only leader at `now` and knows all committed entries.
     // Call it with a fresh time right before an answer that depends on it.
     [[nodiscard]] bool hasLease(instant now) const;
+    // Whether this replica's owner has applied everything that was committed before the present
+    // leader was elected, and that leader was heard a short time ago. After a start, a replica is
+    // behind until then, whatever its log holds.
+    [[nodiscard]] bool isCurrent(instant now) const;
     // The end of the lease; in the past for every replica but a leader.
     [[nodiscard]] instant leaseEnd() const;
 
--- a/include/kingcuptiller/node/control_node.h
+++ b/include/kingcuptiller/node/control_node.h
@@ -117,7 +117,6 @@
     void notePresence(const std::shared_ptr<frame_connection> &connection, const std::string &body);
     void sendViews();
     void sendView(entry_feed &feed);
-    [[nodiscard]] bool hasLeader() const;
 
     // control_calls.cpp
     boost::asio::awaitable<call_answer> call(call_text text);
--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -2,6 +2,7 @@
 
 #include "kingcuptiller/fleet/fleet_state.h"
 #include "kingcuptiller/fleet/traffic_configuration.h"
+#include "kingcuptiller/steering/shift_limiter.h"
 #include "kingcuptiller/values/time.h"
 
 #include <cstdint>
@@ -38,6 +39,8 @@
     replaced,
     // No complete answer came, or none in time.
     broken,
+    // The time for the answer was over.
+    timed_out,
     // The client left; says nothing about the upstream.
     abandoned,
 };
@@ -53,6 +56,8 @@
     milliseconds otherRegionPenalty{150};
     // Assumed way to another region and back until a connection there has been measured.
     milliseconds otherRegionRoundTrip{110};
+    // The most of a region's requests that may run in another region than in the second before.
+    double shiftShare = 0.06;
     // Objects that an upstream is taken to remember.
     std::size_t rememberedObjects = 24;
 
@@ -150,17 +155,25 @@
     struct service_record
     {
         std::vector<upstream_id> members;
+        class_index index = 0;
         double familiarMs = 300;
         double unfamiliarMs = 900;
         double coldRequestsPerSecond = 0;
         milliseconds coldTime{0};
     };
 
+    [[nodiscard]] region_index indexOf(const region_name &region);
+    [[nodiscard]] bool shiftsTooMuch(const service_record &service, const region_name &region,
+                                     bool counted, instant now);
     [[nodiscard]] double loadOf(const upstream_record &upstream, instant now) const;
     [[nodiscard]] double networkMs(const upstream_record &upstream) const;
     [[nodiscard]] double placePenaltyMs(const upstream_record &upstream) const;
-    [[nodiscard]] double expectedMs(const upstream_record &upstream, const service_record &service,
-                                    const std::string &object, instant now) const;
+    // Time in the upstream's queue and on the way.
+    [[nodiscard]] double waitingMs(const upstream_record &upstream, const service_record &service,
+                                   instant now) const;
+    // The work itself, given whether the upstream knows the object.
+    [[nodiscard]] double workMs(const upstream_record &upstream, const service_record &service,
+                                const std::string &object, instant now) const;
     [[nodiscard]] bool mayUse(upstream_record &upstream, const service_record &service,
                               const choice_request &request, instant now) const;
     void noteColdStart(upstream_record &upstream, milliseconds coldFor, instant now) const;
@@ -175,6 +188,9 @@
     std::map<service_name, service_record> m_services;
     std::map<region_name, double> m_roundTripMs;
     std::set<zone_name> m_evacuated;
+    shift_limiter m_shift;
+    std::map<region_name, region_index> m_regionIndexes;
+    std::optional<instant> m_firstRequest;
     // Entries that share the rate of a cold upstream.
     std::size_t m_entries = 1;
 };
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -133,6 +133,16 @@
         && m_handedOut >= m_firstOwnIndex;
 }
 
+bool replica::isCurrent(instant now) const
+{
+    if (m_role == replica_role::leader)
+        return hasLease(now);
+    return m_leader && m_leaderHeard
+        && std::max(now, m_now) - *m_leaderHeard < m_settings.minimumElectionTimeout
+        && m_handedOut == m_committed && m_committed >= m_store.baseIndex()
+        && m_store.termAt(m_committed) == term();
+}
+
 instant replica::leaseEnd() const
 {
     return m_leaseEnd;
--- a/src/consensus/replica_election.cpp
+++ b/src/consensus/replica_election.cpp
@@ -148,8 +148,10 @@
 
 void replica::checkQuorum()
 {
-    // A leader that no majority answers steps down, so that callers stop waiting for it.
-    if (m_now - std::max(m_becameLeader, m_leaseEnd) > m_settings.maximumElectionTimeout)
+    // A leader that no majority answers steps down soon after its lease, so that callers stop
+    // waiting for it and followers that still hear it learn that they are cut off too.
+    if (m_now - std::max(m_becameLeader, m_leaseEnd)
+        > std::min<milliseconds>(m_settings.maximumElectionTimeout, m_settings.heartbeat * 5))
         becomeFollower();
 }
 
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -239,11 +239,12 @@
         co_return std::nullopt;
     case sending_outcome::broken:
         trip.mayHaveRun = true;
-        if (trip.route.idempotent && result.kind == sending_result::end::broken)
+        if (trip.route.idempotent)
             co_return std::nullopt;
-        co_return openEnd(trip,
-                          result.kind == sending_result::end::timed_out ? "time_over"
-                                                                        : "connection_broken");
+        co_return openEnd(trip, "connection_broken");
+    case sending_outcome::timed_out:
+        trip.mayHaveRun = true;
+        co_return openEnd(trip, "time_over");
     case sending_outcome::abandoned:
         trip.mayHaveRun = true;
         co_return openEnd(trip, "client_left");
@@ -317,8 +318,9 @@
     case sending_result::end::abandoned:
         return sending_outcome::abandoned;
     case sending_result::end::broken:
-    case sending_result::end::timed_out:
         return sending_outcome::broken;
+    case sending_result::end::timed_out:
+        return sending_outcome::timed_out;
     case sending_result::end::answered:
         break;
     }
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -36,6 +36,13 @@
 constexpr double spreadMs = 30;
 // A silent upstream is used only when nothing else is there.
 constexpr double silencePenaltyMs = 2'000;
+// A region that would take too large a part of the requests at once, and an upstream that would
+// hardly answer in time, are used only when all others are much worse.
+constexpr double shiftPenaltyMs = 2'000;
+constexpr double timeoutPenaltyMs = 1'000;
+constexpr milliseconds shiftStart{2'000};
+// The whole cap is open to every request.
+constexpr rank_number shiftRank{1};
 // The cold rate of all entries together stays below the tolerated one by this factor, because an
 // entry that is cut off may not know how many share it.
 constexpr double coldRateShare = 0.8;
@@ -57,6 +64,7 @@
 
 upstream_choice::upstream_choice(choice_settings settings)
     : m_settings(std::move(settings))
+    , m_shift(m_settings.shiftShare)
 {
 }
 
@@ -93,7 +101,11 @@
         const auto region = m_settings.regions.find(life.zone);
         record.region = region == m_settings.regions.end() ? region_name() : region->second;
         record.evacuated = view.evacuated.contains(life.zone);
-        service_record &service = m_services[life.service];
+        const std::size_t services = m_services.size();
+        auto [place, isNew] = m_services.try_emplace(life.service);
+        service_record &service = place->second;
+        if (isNew)
+            service.index = static_cast<class_index>(services);
         if (const service_settings *settings = routes.service(life.service)) {
             service.coldRequestsPerSecond = settings->coldRequestsPerSecond;
             service.coldTime = settings->coldTime;
@@ -134,17 +146,38 @@
                                    .count());
 }
 
-double upstream_choice::expectedMs(const upstream_record &upstream, const service_record &service,
-                                   const std::string &object, instant now) const
+double upstream_choice::waitingMs(const upstream_record &upstream, const service_record &service,
+                                  instant now) const
 {
-    const bool familiar = !object.empty() && upstream.objects.places.contains(object);
-    double work = (familiar ? service.familiarMs : service.unfamiliarMs) * upstream.slowness;
-    if (now < upstream.coldUntil)
-        work *= coldFactor;
     const double slots = std::max<double>(upstream.life.slots, 1);
     const double ahead = loadOf(upstream, now) + 1 - slots;
     const double waiting = ahead > 0 ? ahead / slots * service.familiarMs * upstream.slowness : 0;
-    return networkMs(upstream) + waiting + work;
+    return networkMs(upstream) + waiting;
+}
+
+double upstream_choice::workMs(const upstream_record &upstream, const service_record &service,
+                               const std::string &object, instant now) const
+{
+    const bool familiar = !object.empty() && upstream.objects.places.contains(object);
+    const double work = (familiar ? service.familiarMs : service.unfamiliarMs) * upstream.slowness;
+    return now < upstream.coldUntil ? work * coldFactor : work;
+}
+
+region_index upstream_choice::indexOf(const region_name &region)
+{
+    return m_regionIndexes
+        .try_emplace(region, static_cast<region_index>(m_regionIndexes.size()))
+        .first->second;
+}
+
+bool upstream_choice::shiftsTooMuch(const service_record &service, const region_name &region,
+                                    bool counted, instant now)
+{
+    // The first requests spread freely; what they did is what later ones are compared with.
+    if (!m_firstRequest || now - *m_firstRequest < shiftStart)
+        return false;
+    return !m_shift.mayForward({service.index, indexOf(m_settings.region)}, indexOf(region),
+                               shiftRank, counted, now);
 }
 
 void upstream_choice::refillColdTokens(upstream_record &upstream, const service_record &service,
@@ -175,21 +208,35 @@
 std::optional<chosen_upstream> upstream_choice::choose(const choice_request &request, instant now,
                                                        no_choice &reason)
 {
-    const auto service = m_services.find(request.service);
-    reason.noneKnown = service == m_services.end() || service->second.members.empty();
+    const auto found = m_services.find(request.service);
+    reason.noneKnown = found == m_services.end() || found->second.members.empty();
     if (reason.noneKnown)
         return std::nullopt;
+    service_record &service = found->second;
+    const bool counted = !request.tried.empty();
+    if (!m_firstRequest)
+        m_firstRequest = now;
+    const double timeLeft = static_cast<double>(request.timeLeft.count());
+    std::map<region_name, bool> shifts;
     upstream_record *best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
     double bestExpected = 0;
-    for (const upstream_id &id : service->second.members) {
+    for (const upstream_id &id : service.members) {
         upstream_record &upstream = m_upstreams.at(id);
-        if (!mayUse(upstream, service->second, request, now))
+        if (!mayUse(upstream, service, request, now))
+            continue;
+        const double waiting = waitingMs(upstream, service, now);
+        // What takes too long only because the object is new must be tried somewhere.
+        if (waiting > timeLeft * usableTimeShare)
             continue;
-        const double expected = expectedMs(upstream, service->second, request.object, now);
+        const double expected = waiting + workMs(upstream, service, request.object, now);
+        auto [shift, unknown] = shifts.try_emplace(upstream.region, false);
+        if (unknown)
+            shift->second = shiftsTooMuch(service, upstream.region, counted, now);
         const double cost = expected + placePenaltyMs(upstream)
             + upstream.failureShare * failurePenaltyMs
-            + (upstream.life.silent ? silencePenaltyMs : 0)
+            + (upstream.life.silent ? silencePenaltyMs : 0) + (shift->second ? shiftPenaltyMs : 0)
+            + (expected > timeLeft * usableTimeShare ? timeoutPenaltyMs : 0)
             + spreadOf(request.object, id) * spreadMs;
         if (cost < bestCost) {
             best = &upstream;
@@ -197,9 +244,13 @@
             bestExpected = expected;
         }
     }
-    if (best == nullptr
-        || bestExpected > static_cast<double>(request.timeLeft.count()) * usableTimeShare)
+    const flow_source source{service.index, indexOf(m_settings.region)};
+    if (best == nullptr) {
+        if (!counted)
+            m_shift.refuse(source, now);
         return std::nullopt;
+    }
+    m_shift.forward(source, indexOf(best->region), counted, now);
     return chosen_upstream{best->life, milliseconds(std::llround(bestExpected))};
 }
 
@@ -288,6 +339,9 @@
     }
     if (outcome == sending_outcome::abandoned)
         return;
+    // A request that ran out of time took at least so long.
+    if (outcome == sending_outcome::timed_out)
+        noteDuration(upstream, familiar, elapsed, now);
     if (outcome != sending_outcome::answered) {
         noteFailure(upstream, outcome, now);
         return;
