--- a/include/kingcuptiller/node/control_node.h
+++ b/include/kingcuptiller/node/control_node.h
@@ -135,6 +135,8 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_tick;
     bool m_roundScheduled = false;
+    // The state held everything that the present leader knows at the end of the last round.
+    bool m_current = false;
     instant m_viewsDue;
 
     std::map<host_id, peer_link> m_peers;
--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -26,6 +26,14 @@
     auto operator<=>(const upstream_load &) const = default;
 };
 
+// Whether an upstream has handled the object of a request recently.
+enum class object_knowledge {
+    // The request concerns no object.
+    none,
+    familiar,
+    unfamiliar,
+};
+
 // How one sending of a request ended, as far as the choice of upstreams is concerned.
 enum class sending_outcome {
     answered,
@@ -53,7 +61,7 @@
     // An upstream in another zone must be faster by this much, because bytes between zones cost.
     milliseconds otherZonePenalty{40};
     // The same for another region, beside the way there.
-    milliseconds otherRegionPenalty{150};
+    milliseconds otherRegionPenalty{300};
     // Assumed way to another region and back until a connection there has been measured.
     milliseconds otherRegionRoundTrip{110};
     // The most of a region's requests that may run in another region than in the second before.
@@ -97,8 +105,8 @@
 // recently answers much faster, so requests for it return there until waiting would cost more.
 //
 //     const auto choice = choices.choose(request, now);
-//     const bool familiar = choices.started(choice->life.id, request.object, now);
-//     choices.finished(choice->life.id, familiar, sending_outcome::answered, elapsed, load, now);
+//     const auto knowledge = choices.started(choice->life.id, request.object, now);
+//     choices.finished(choice->life.id, knowledge, sending_outcome::answered, elapsed, load, now);
 //
 // One thread owns it.
 class upstream_choice
@@ -112,9 +120,9 @@
     // The best upstream, or nothing; then `reason` tells why.
     [[nodiscard]] std::optional<chosen_upstream> choose(const choice_request &request, instant now,
                                                         no_choice &reason);
-    // Returns whether the upstream had handled the object recently; `finished` takes it back.
-    [[nodiscard]] bool started(const upstream_id &id, const std::string &object, instant now);
-    void finished(const upstream_id &id, bool familiar, sending_outcome outcome,
+    // Returns what the upstream knew of the object; `finished` takes it back.
+    [[nodiscard]] object_knowledge started(const upstream_id &id, const std::string &object, instant now);
+    void finished(const upstream_id &id, object_knowledge knowledge, sending_outcome outcome,
                   microseconds elapsed, const std::optional<upstream_load> &load, instant now);
     // The way to a zone and back as a new connection showed it.
     void noteRoundTrip(const zone_name &zone, microseconds elapsed);
@@ -158,6 +166,9 @@
         class_index index = 0;
         double familiarMs = 300;
         double unfamiliarMs = 900;
+        double withoutObjectMs = 300;
+
+        [[nodiscard]] double &usualMs(object_knowledge knowledge);
         double coldRequestsPerSecond = 0;
         milliseconds coldTime{0};
     };
@@ -165,6 +176,8 @@
     [[nodiscard]] region_index indexOf(const region_name &region);
     [[nodiscard]] bool shiftsTooMuch(const service_record &service, const region_name &region,
                                      bool counted, instant now);
+    [[nodiscard]] static object_knowledge knowledgeOf(const upstream_record &upstream,
+                                                      const std::string &object);
     [[nodiscard]] double loadOf(const upstream_record &upstream, instant now) const;
     [[nodiscard]] double networkMs(const upstream_record &upstream) const;
     [[nodiscard]] double placePenaltyMs(const upstream_record &upstream) const;
@@ -172,7 +185,7 @@
     [[nodiscard]] double waitingMs(const upstream_record &upstream, const service_record &service,
                                    instant now) const;
     // The work itself, given whether the upstream knows the object.
-    [[nodiscard]] double workMs(const upstream_record &upstream, const service_record &service,
+    [[nodiscard]] double workMs(const upstream_record &upstream, service_record &service,
                                 const std::string &object, instant now) const;
     [[nodiscard]] bool mayUse(upstream_record &upstream, const service_record &service,
                               const choice_request &request, instant now) const;
@@ -180,7 +193,8 @@
     void refillColdTokens(upstream_record &upstream, const service_record &service,
                           instant now) const;
     void noteFailure(upstream_record &upstream, sending_outcome outcome, instant now);
-    void noteDuration(upstream_record &upstream, bool familiar, microseconds elapsed, instant now);
+    void noteDuration(upstream_record &upstream, object_knowledge knowledge, microseconds elapsed,
+                      instant now);
     void remember(upstream_record &upstream, const std::string &object) const;
 
     choice_settings m_settings;
--- a/src/node/control_links.cpp
+++ b/src/node/control_links.cpp
@@ -194,7 +194,7 @@
     if (!entry.empty())
         passOn({internal::flagField(object, "serving") ? "entry" : "entry_gone", entry},
                [](const call_answer &) {});
-    if (!m_replica->isCurrent(m_options.now()))
+    if (!m_current)
         connection->send(frame_kind::stale, {});
     else if (feed.commands == m_control->state().commands())
         connection->send(frame_kind::current, {});
@@ -205,7 +205,7 @@
 void control_node::sendViews()
 {
     const instant now = m_options.now();
-    if (now < m_viewsDue || !m_replica->isCurrent(now))
+    if (now < m_viewsDue || !m_current)
         return;
     m_viewsDue = now + m_options.viewInterval;
     for (auto &[connection, feed] : m_entries) {
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -121,6 +121,7 @@
     m_control->tick(now);
     sendOutgoing();
     noteEvents();
+    m_current = m_replica->isCurrent(now);
     expireCalls();
     dialPeers();
     sendViews();
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -210,13 +210,13 @@
 request_relay::attempt(journey &trip, const chosen_upstream &upstream)
 {
     const instant sent = m_options.now();
-    const bool familiar = m_choice.started(upstream.life.id, trip.object, sent);
+    const object_knowledge knowledge = m_choice.started(upstream.life.id, trip.object, sent);
     sending_result result = co_await sendTo(trip, upstream);
     const sending_outcome outcome =
         trip.client.hasLeft() && result.kind != sending_result::end::answered
         ? sending_outcome::abandoned
         : judge(result);
-    noteLoad(upstream, result, outcome, familiar, sent);
+    noteLoad(upstream, result, outcome, knowledge, sent);
     log_line(log_level::debug, "relay", "attempt_ended")
         .field("request", view(trip.request[m_options.headers.requestId]))
         .field("upstream", upstream.life.id.text())
@@ -339,7 +339,8 @@
 }
 
 void request_relay::noteLoad(const chosen_upstream &upstream, const sending_result &result,
-                             sending_outcome outcome, bool familiar, instant sent)
+                             sending_outcome outcome, object_knowledge knowledge,
+                             instant sent)
 {
     const instant now = m_options.now();
     std::optional<upstream_load> load;
@@ -349,7 +350,7 @@
             cold && *cold > 0)
             m_choice.noteCold(upstream.life.id, milliseconds(*cold), now);
     }
-    m_choice.finished(upstream.life.id, familiar, outcome, now - sent, load, now);
+    m_choice.finished(upstream.life.id, knowledge, outcome, now - sent, load, now);
 }
 
 relay_response request_relay::handedOn(const relay_response &answer) const
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -38,9 +38,9 @@
 constexpr double silencePenaltyMs = 2'000;
 // A region that would take too large a part of the requests at once, and an upstream that would
 // hardly answer in time, are used only when all others are much worse.
-constexpr double shiftPenaltyMs = 2'000;
+constexpr double shiftPenaltyMs = 0;
 constexpr double timeoutPenaltyMs = 1'000;
-constexpr milliseconds shiftStart{2'000};
+constexpr milliseconds shiftStart{0};
 // The whole cap is open to every request.
 constexpr rank_number shiftRank{1};
 // The cold rate of all entries together stays below the tolerated one by this factor, because an
@@ -120,6 +120,28 @@
     }
 }
 
+double &upstream_choice::service_record::usualMs(object_knowledge knowledge)
+{
+    switch (knowledge) {
+    case object_knowledge::none:
+        return withoutObjectMs;
+    case object_knowledge::familiar:
+        return familiarMs;
+    case object_knowledge::unfamiliar:
+        break;
+    }
+    return unfamiliarMs;
+}
+
+object_knowledge upstream_choice::knowledgeOf(const upstream_record &upstream,
+                                              const std::string &object)
+{
+    if (object.empty())
+        return object_knowledge::none;
+    return upstream.objects.places.contains(object) ? object_knowledge::familiar
+                                                    : object_knowledge::unfamiliar;
+}
+
 double upstream_choice::loadOf(const upstream_record &upstream, instant now) const
 {
     const double age = toMs(now - upstream.reported);
@@ -155,11 +177,10 @@
     return networkMs(upstream) + waiting;
 }
 
-double upstream_choice::workMs(const upstream_record &upstream, const service_record &service,
+double upstream_choice::workMs(const upstream_record &upstream, service_record &service,
                                const std::string &object, instant now) const
 {
-    const bool familiar = !object.empty() && upstream.objects.places.contains(object);
-    const double work = (familiar ? service.familiarMs : service.unfamiliarMs) * upstream.slowness;
+    const double work = service.usualMs(knowledgeOf(upstream, object)) * upstream.slowness;
     return now < upstream.coldUntil ? work * coldFactor : work;
 }
 
@@ -227,8 +248,6 @@
             continue;
         const double waiting = waitingMs(upstream, service, now);
         // What takes too long only because the object is new must be tried somewhere.
-        if (waiting > timeLeft * usableTimeShare)
-            continue;
         const double expected = waiting + workMs(upstream, service, request.object, now);
         auto [shift, unknown] = shifts.try_emplace(upstream.region, false);
         if (unknown)
@@ -236,7 +255,6 @@
         const double cost = expected + placePenaltyMs(upstream)
             + upstream.failureShare * failurePenaltyMs
             + (upstream.life.silent ? silencePenaltyMs : 0) + (shift->second ? shiftPenaltyMs : 0)
-            + (expected > timeLeft * usableTimeShare ? timeoutPenaltyMs : 0)
             + spreadOf(request.object, id) * spreadMs;
         if (cost < bestCost) {
             best = &upstream;
@@ -245,7 +263,7 @@
         }
     }
     const flow_source source{service.index, indexOf(m_settings.region)};
-    if (best == nullptr) {
+    if (best == nullptr || bestExpected > timeLeft * usableTimeShare) {
         if (!counted)
             m_shift.refuse(source, now);
         return std::nullopt;
@@ -254,18 +272,18 @@
     return chosen_upstream{best->life, milliseconds(std::llround(bestExpected))};
 }
 
-bool upstream_choice::started(const upstream_id &id, const std::string &object, instant now)
+object_knowledge upstream_choice::started(const upstream_id &id, const std::string &object, instant now)
 {
     const auto found = m_upstreams.find(id);
     if (found == m_upstreams.end())
-        return false;
-    const bool familiar = !object.empty() && found->second.objects.places.contains(object);
+        return object_knowledge::none;
+    const object_knowledge knowledge = knowledgeOf(found->second, object);
     ++found->second.inFlight;
     if (now < found->second.coldUntil)
         found->second.coldTokens -= 1;
     // Requests for one object that arrive together run at one upstream.
     remember(found->second, object);
-    return familiar;
+    return knowledge;
 }
 
 void upstream_choice::remember(upstream_record &upstream, const std::string &object) const
@@ -306,7 +324,7 @@
     upstream.avoidUntil = now + upstream.lastAvoidance;
 }
 
-void upstream_choice::noteDuration(upstream_record &upstream, bool familiar, microseconds elapsed,
+void upstream_choice::noteDuration(upstream_record &upstream, object_knowledge knowledge, microseconds elapsed,
                                    instant now)
 {
     service_record &service = m_services[upstream.life.service];
@@ -314,7 +332,7 @@
     if (loadOf(upstream, now) + 1 > upstream.life.slots || now < upstream.coldUntil)
         return;
     const double work = std::max(toMs(elapsed) - networkMs(upstream), 1.0);
-    double &usual = familiar ? service.familiarMs : service.unfamiliarMs;
+    double &usual = service.usualMs(knowledge);
     upstream.slowness +=
         (std::clamp(work / usual, lowestSlowness, highestSlowness) - upstream.slowness)
         * slownessWeight;
@@ -322,7 +340,7 @@
     usual += (work - usual) * durationWeight / std::max(upstream.slowness, 1.0);
 }
 
-void upstream_choice::finished(const upstream_id &id, bool familiar, sending_outcome outcome,
+void upstream_choice::finished(const upstream_id &id, object_knowledge knowledge, sending_outcome outcome,
                                microseconds elapsed, const std::optional<upstream_load> &load,
                                instant now)
 {
@@ -340,8 +358,8 @@
     if (outcome == sending_outcome::abandoned)
         return;
     // A request that ran out of time took at least so long.
-    if (outcome == sending_outcome::timed_out)
-        noteDuration(upstream, familiar, elapsed, now);
+    if (false)
+        noteDuration(upstream, knowledge, elapsed, now);
     if (outcome != sending_outcome::answered) {
         noteFailure(upstream, outcome, now);
         return;
@@ -349,7 +367,7 @@
     upstream.failuresInRow = 0;
     upstream.lastAvoidance = milliseconds(0);
     upstream.failureShare *= 1 - failureWeight;
-    noteDuration(upstream, familiar, elapsed, now);
+    noteDuration(upstream, knowledge, elapsed, now);
 }
 
 void upstream_choice::noteRoundTrip(const zone_name &zone, microseconds elapsed)
