--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -64,7 +64,8 @@
     milliseconds otherRegionPenalty{300};
     // Assumed way to another region and back until a connection there has been measured.
     milliseconds otherRegionRoundTrip{110};
-    // The most of a region's requests that may run in another region than in the second before.
+    // The most of a region's requests that may run in another region than in the second before,
+    // while the traffic begins.
     double shiftShare = 0.06;
     // Objects that an upstream is taken to remember.
     std::size_t rememberedObjects = 24;
@@ -143,6 +144,8 @@
         upstream_life life;
         region_name region;
         bool evacuated = false;
+        // This entry has sent it nothing yet.
+        bool untried = true;
         std::uint32_t inFlight = 0;
         // Requests of other entries at the last report.
         double others = 0;
@@ -174,8 +177,9 @@
     };
 
     [[nodiscard]] region_index indexOf(const region_name &region);
-    [[nodiscard]] bool shiftsTooMuch(const service_record &service, const region_name &region,
-                                     bool counted, instant now);
+    void beginSpread(instant now);
+    [[nodiscard]] double shiftPenaltyMs(const service_record &service, const region_name &region,
+                                        bool counted, instant now);
     [[nodiscard]] static object_knowledge knowledgeOf(const upstream_record &upstream,
                                                       const std::string &object);
     [[nodiscard]] double loadOf(const upstream_record &upstream, instant now) const;
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -36,11 +36,13 @@
 constexpr double spreadMs = 30;
 // A silent upstream is used only when nothing else is there.
 constexpr double silencePenaltyMs = 2'000;
-// A region that would take too large a part of the requests at once, and an upstream that would
-// hardly answer in time, are used only when all others are much worse.
-constexpr double shiftPenaltyMs = 0;
-constexpr double timeoutPenaltyMs = 1'000;
-constexpr milliseconds shiftStart{0};
+// What a region costs at first that gets more than its share of the requests; it falls to nothing
+// within the spread time.
+constexpr double firstShiftPenaltyMs = 2'000;
+constexpr milliseconds spreadTime{2'000};
+// An upstream that joined knows no objects and would get nothing while the others have room, so its
+// first request is sent to it regardless.
+constexpr double untriedBonusMs = 5'000;
 // The whole cap is open to every request.
 constexpr rank_number shiftRank{1};
 // The cold rate of all entries together stays below the tolerated one by this factor, because an
@@ -191,14 +193,34 @@
         .first->second;
 }
 
-bool upstream_choice::shiftsTooMuch(const service_record &service, const region_name &region,
-                                    bool counted, instant now)
+// All upstreams are unfamiliar with their objects at first and fill up within a second. Going home
+// first and leaving then would shift most of the traffic, so it begins in proportion to the slots.
+void upstream_choice::beginSpread(instant now)
 {
-    // The first requests spread freely; what they did is what later ones are compared with.
-    if (!m_firstRequest || now - *m_firstRequest < shiftStart)
-        return false;
-    return !m_shift.mayForward({service.index, indexOf(m_settings.region)}, indexOf(region),
-                               shiftRank, counted, now);
+    m_firstRequest = now;
+    std::map<flow_source, std::map<region_index, std::uint64_t>> slots;
+    for (const auto &[id, upstream] : m_upstreams) {
+        const service_record &service = m_services.at(upstream.life.service);
+        slots[{service.index, indexOf(m_settings.region)}][indexOf(upstream.region)]
+            += upstream.life.slots;
+    }
+    std::vector<counted_flow> flows;
+    for (const auto &[source, regions] : slots) {
+        for (const auto &[region, count] : regions)
+            flows.push_back({source, region, count});
+    }
+    m_shift.setBaseline(flows);
+}
+
+double upstream_choice::shiftPenaltyMs(const service_record &service, const region_name &region,
+                                       bool counted, instant now)
+{
+    const double age = toMs(now - *m_firstRequest) / toMs(spreadTime);
+    if (age >= 1
+        || m_shift.mayForward({service.index, indexOf(m_settings.region)}, indexOf(region),
+                              shiftRank, counted, now))
+        return 0;
+    return firstShiftPenaltyMs * (1 - age);
 }
 
 void upstream_choice::refillColdTokens(upstream_record &upstream, const service_record &service,
@@ -236,9 +258,9 @@
     service_record &service = found->second;
     const bool counted = !request.tried.empty();
     if (!m_firstRequest)
-        m_firstRequest = now;
-    const double timeLeft = static_cast<double>(request.timeLeft.count());
-    std::map<region_name, bool> shifts;
+        beginSpread(now);
+    const double longest = static_cast<double>(request.timeLeft.count()) * usableTimeShare;
+    std::map<region_name, double> shiftPenalties;
     upstream_record *best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
     double bestExpected = 0;
@@ -249,13 +271,16 @@
         const double waiting = waitingMs(upstream, service, now);
         // What takes too long only because the object is new must be tried somewhere.
         const double expected = waiting + workMs(upstream, service, request.object, now);
-        auto [shift, unknown] = shifts.try_emplace(upstream.region, false);
+        auto [shift, unknown] = shiftPenalties.try_emplace(upstream.region, 0);
         if (unknown)
-            shift->second = shiftsTooMuch(service, upstream.region, counted, now);
+            shift->second = shiftPenaltyMs(service, upstream.region, counted, now);
         const double cost = expected + placePenaltyMs(upstream)
             + upstream.failureShare * failurePenaltyMs
-            + (upstream.life.silent ? silencePenaltyMs : 0) + (shift->second ? shiftPenaltyMs : 0)
-            + spreadOf(request.object, id) * spreadMs;
+            + (upstream.life.silent ? silencePenaltyMs : 0) + shift->second
+            + spreadOf(request.object, id) * spreadMs
+            - (upstream.untried && upstream.region == m_settings.region && expected <= longest
+                   ? untriedBonusMs
+                   : 0);
         if (cost < bestCost) {
             best = &upstream;
             bestCost = cost;
@@ -263,7 +288,7 @@
         }
     }
     const flow_source source{service.index, indexOf(m_settings.region)};
-    if (best == nullptr || bestExpected > timeLeft * usableTimeShare) {
+    if (best == nullptr || bestExpected > longest) {
         if (!counted)
             m_shift.refuse(source, now);
         return std::nullopt;
@@ -279,6 +304,7 @@
         return object_knowledge::none;
     const object_knowledge knowledge = knowledgeOf(found->second, object);
     ++found->second.inFlight;
+    found->second.untried = false;
     if (now < found->second.coldUntil)
         found->second.coldTokens -= 1;
     // Requests for one object that arrive together run at one upstream.
