--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -61,7 +61,7 @@
     // An upstream in another zone must be faster by this much, because bytes between zones cost.
     milliseconds otherZonePenalty{40};
     // The same for another region, beside the way there.
-    milliseconds otherRegionPenalty{300};
+    milliseconds otherRegionPenalty{60};
     // Assumed way to another region and back until a connection there has been measured.
     milliseconds otherRegionRoundTrip{110};
     // The most of a region's requests that may run in another region than in the second before,
--- a/src/settings/node_settings.cpp
+++ b/src/settings/node_settings.cpp
@@ -116,7 +116,7 @@
                                              {milliseconds(500), milliseconds(600'000)});
     const inclusive_range<milliseconds> lifetimes{milliseconds(100), milliseconds(600'000)};
     settings.directoryLifetime =
-        std::min(reader.duration("directory", "lifetime", "1 s", lifetimes),
+        std::min(reader.duration("directory", "lifetime", "2 s", lifetimes),
                  reader.duration("directory", "longest_lifetime", "600 s", lifetimes));
     settings.retryShare = decimal(reader, "retries", "share", 0.2, mostRetryShare);
     settings.retrySlack = decimal(reader, "retries", "slack", 64, mostRetrySlack);
