--- /dev/null
+++ b/tests/fleet/fleet_control_test.cpp
@@ -0,0 +1,170 @@
+#include "kingcuptiller/fleet/fleet_control.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+#include <vector>
+
+using namespace kingcuptiller;
+
+namespace {
+
+// A leader whose log commits when the test says so.
+struct leader_harness
+{
+    leader_harness()
+        : control({},
+                  {[this](const std::string &text) -> std::optional<fleet_log_place> {
+                       log.push_back(text);
+                       return fleet_log_place{log_index(log.size()), epoch_number(1)};
+                   },
+                   [this] { return lease; }})
+    {
+        control.startLeading(now);
+    }
+
+    void commitAll()
+    {
+        for (; committed < log.size(); ++committed)
+            control.apply({log_index(committed + 1), epoch_number(1)}, log[committed]);
+    }
+
+    fleet_reply answer()
+    {
+        answered.reset();
+        return [this](result_code code) { answered = code; };
+    }
+
+    void announce(const upstream_life &life) { control.announce(life, now, answer()); }
+
+    instant now{std::chrono::seconds(100)};
+    bool lease = true;
+    std::vector<std::string> log;
+    std::size_t committed = 0;
+    std::optional<result_code> answered;
+    fleet_control control;
+};
+
+upstream_life lifeOf(const std::string &id, std::int64_t bornMs, std::uint64_t sequence)
+{
+    upstream_life life;
+    life.id = upstream_id(id);
+    life.bornMs = bornMs;
+    life.sequence = sequence;
+    life.address = endpoint_address("10.0.0.1:80");
+    life.service = service_name("lookups");
+    life.zone = zone_name("a");
+    return life;
+}
+
+} // namespace
+
+class fleet_control_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(fleet_control_test);
+    CPPUNIT_TEST(leavingIsAnsweredOnlyWhenItIsCommitted);
+    CPPUNIT_TEST(announcementThatChangesNothingCostsNoCommand);
+    CPPUNIT_TEST(silentUpstreamComesBackWithItsNextAnnouncement);
+    CPPUNIT_TEST(lateAnnouncementOfAFormerOwnerOfTheAddressIsIgnored);
+    CPPUNIT_TEST(nothingIsAcceptedWithoutALease);
+    CPPUNIT_TEST(lostLeadershipLeavesOutcomesOpen);
+    CPPUNIT_TEST(silentEntryIsNoLongerNamed);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against an acknowledged leaving that a new leader does not know.
+    void leavingIsAnsweredOnlyWhenItIsCommitted()
+    {
+        leader_harness leader;
+        leader.announce(lifeOf("u", 1, 1));
+        leader.commitAll();
+        upstream_life leaving = lifeOf("u", 1, 2);
+        leaving.state = upstream_state::leaving;
+        leader.announce(leaving);
+        CPPUNIT_ASSERT(!leader.answered);
+        leader.commitAll();
+        CPPUNIT_ASSERT(leader.answered == result_code::ok);
+        leader.control.withdraw(upstream_id("u"), leader.now, leader.answer());
+        CPPUNIT_ASSERT(!leader.answered);
+        leader.commitAll();
+        CPPUNIT_ASSERT(leader.answered == result_code::ok);
+    }
+
+    // Guards against a log that grows with each heartbeat.
+    void announcementThatChangesNothingCostsNoCommand()
+    {
+        leader_harness leader;
+        leader.announce(lifeOf("u", 1, 1));
+        leader.commitAll();
+        for (std::uint64_t sequence = 2; sequence < 50; ++sequence) {
+            leader.announce(lifeOf("u", 1, sequence));
+            CPPUNIT_ASSERT(leader.answered == result_code::ok);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), leader.log.size());
+    }
+
+    // Guards against an upstream that is lost for good because its heartbeats were cut off.
+    void silentUpstreamComesBackWithItsNextAnnouncement()
+    {
+        leader_harness leader;
+        leader.announce(lifeOf("u", 1, 1));
+        leader.commitAll();
+        leader.now += std::chrono::seconds(20);
+        leader.control.tick(leader.now);
+        leader.commitAll();
+        CPPUNIT_ASSERT(leader.control.state().upstreams().at(upstream_id("u")).silent);
+        leader.announce(lifeOf("u", 1, 2));
+        leader.commitAll();
+        CPPUNIT_ASSERT(!leader.control.state().upstreams().at(upstream_id("u")).silent);
+    }
+
+    // Guards against a heartbeat that a cut delayed until another lifetime had the address.
+    void lateAnnouncementOfAFormerOwnerOfTheAddressIsIgnored()
+    {
+        leader_harness leader;
+        leader.announce(lifeOf("new", 200, 1));
+        leader.commitAll();
+        leader.announce(lifeOf("old", 100, 9));
+        CPPUNIT_ASSERT(leader.answered == result_code::ok);
+        leader.commitAll();
+        CPPUNIT_ASSERT(!leader.control.state().upstreams().contains(upstream_id("old")));
+    }
+
+    // Guards against orders that a cut-off leader acknowledges.
+    void nothingIsAcceptedWithoutALease()
+    {
+        leader_harness leader;
+        leader.lease = false;
+        leader.announce(lifeOf("u", 1, 1));
+        CPPUNIT_ASSERT(leader.answered == result_code::not_leader);
+        leader.control.order(evacuate_command{zone_name("a"), true}, leader.now, leader.answer());
+        CPPUNIT_ASSERT(leader.answered == result_code::not_leader);
+        CPPUNIT_ASSERT(leader.log.empty());
+    }
+
+    // Guards against an answer that claims to know what became of a proposed order.
+    void lostLeadershipLeavesOutcomesOpen()
+    {
+        leader_harness leader;
+        leader.control.order(evacuate_command{zone_name("a"), true}, leader.now, leader.answer());
+        leader.control.stopLeading();
+        CPPUNIT_ASSERT(leader.answered == result_code::change_outcome_unknown);
+    }
+
+    // Guards against a directory that names an entry which has been switched off.
+    void silentEntryIsNoLongerNamed()
+    {
+        leader_harness leader;
+        const serving_entry entry{endpoint_address("10.0.0.9:80"), region_name("r"),
+                                  zone_name("a")};
+        leader.control.noteEntry(entry, leader.now);
+        leader.commitAll();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), leader.control.state().entries().size());
+        leader.now += std::chrono::seconds(3);
+        leader.control.tick(leader.now);
+        leader.commitAll();
+        CPPUNIT_ASSERT(leader.control.state().entries().empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(fleet_control_test);
--- /dev/null
+++ b/tests/fleet/fleet_state_test.cpp
@@ -0,0 +1,190 @@
+#include "kingcuptiller/fleet/fleet_state.h"
+
+#include "kingcuptiller/fleet/traffic_configuration.h"
+#include "kingcuptiller/values/error.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+
+using namespace kingcuptiller;
+
+namespace {
+
+upstream_life lifeOf(const std::string &id, std::int64_t bornMs, std::uint64_t sequence,
+                     upstream_state state = upstream_state::serving)
+{
+    upstream_life life;
+    life.id = upstream_id(id);
+    life.bornMs = bornMs;
+    life.sequence = sequence;
+    life.address = endpoint_address("10.0.0.1:80");
+    life.service = service_name("lookups");
+    life.zone = zone_name("a");
+    life.slots = 9;
+    life.state = state;
+    return life;
+}
+
+configure_command configure(std::uint64_t base, std::uint64_t version, const std::string &document)
+{
+    return {revision_number(version), revision_number(base), document};
+}
+
+traffic_configuration goodConfiguration()
+{
+    traffic_configuration configuration;
+    configuration.version = revision_number(2);
+    configuration.base = revision_number(1);
+    configuration.services = {{service_name("s"), 10, milliseconds(3'000), 8}};
+    traffic_route route;
+    route.name = "r";
+    route.host = "a.example";
+    route.pathPrefix = "/x/";
+    route.parts = {{service_name("s"), 1}};
+    configuration.routes = {route};
+    return configuration;
+}
+
+struct configuration_case
+{
+    std::string name;
+    std::function<void(traffic_configuration &)> spoil;
+};
+
+struct route_case
+{
+    std::string host;
+    std::string path;
+    std::string expected;
+};
+
+} // namespace
+
+class fleet_state_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(fleet_state_test);
+    CPPUNIT_TEST(onlyOneOfTwoChangesOnTheSameVersionWins);
+    CPPUNIT_TEST(acceptedConfigurationIsRecognisedWhenSentAgain);
+    CPPUNIT_TEST(leavingUpstreamDoesNotReturnInTheSameLifetime);
+    CPPUNIT_TEST(newLifetimeReplacesAnEndedOne);
+    CPPUNIT_TEST(snapshotAndCommandsSurviveTheirTextForm);
+    CPPUNIT_TEST(contradictoryConfigurationsAreRefused);
+    CPPUNIT_TEST(longestPrefixOfTheHostIsFound);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against two operators that are both told that their change is in force.
+    void onlyOneOfTwoChangesOnTheSameVersionWins()
+    {
+        fleet_state state;
+        CPPUNIT_ASSERT(state.apply(configure(0, 4, "first")) == result_code::ok);
+        CPPUNIT_ASSERT(state.apply(configure(4, 6, "left")) == result_code::ok);
+        CPPUNIT_ASSERT(state.apply(configure(4, 6, "right")) == result_code::revision_conflict);
+        CPPUNIT_ASSERT(state.apply(configure(4, 9, "other")) == result_code::revision_conflict);
+        CPPUNIT_ASSERT_EQUAL(std::string("left"), state.document());
+    }
+
+    // Guards against refusing a change whose first answer was lost, also after later changes.
+    void acceptedConfigurationIsRecognisedWhenSentAgain()
+    {
+        fleet_state state;
+        CPPUNIT_ASSERT(state.apply(configure(0, 4, "first")) == result_code::ok);
+        CPPUNIT_ASSERT(state.apply(configure(4, 5, "second")) == result_code::ok);
+        CPPUNIT_ASSERT(state.apply(configure(0, 4, "first")) == result_code::ok);
+        CPPUNIT_ASSERT_EQUAL(std::string("second"), state.document());
+    }
+
+    // Guards against requests to an upstream that left because a late announcement arrived.
+    void leavingUpstreamDoesNotReturnInTheSameLifetime()
+    {
+        fleet_state state;
+        state.apply(roster_command{{lifeOf("u", 100, 7, upstream_state::leaving)}, {}, {}});
+        state.apply(roster_command{{lifeOf("u", 100, 8)}, {}, {}});
+        CPPUNIT_ASSERT(state.upstreams().at(upstream_id("u")).state == upstream_state::leaving);
+        state.apply(roster_command{{lifeOf("u", 90, 99)}, {}, {}});
+        CPPUNIT_ASSERT(state.upstreams().at(upstream_id("u")).state == upstream_state::leaving);
+    }
+
+    // Guards against an upstream that stays unused after it started again under its id.
+    void newLifetimeReplacesAnEndedOne()
+    {
+        fleet_state state;
+        state.apply(roster_command{{lifeOf("u", 100, 7, upstream_state::gone)}, {}, {}});
+        state.apply(roster_command{{lifeOf("u", 200, 1)}, {}, {}});
+        CPPUNIT_ASSERT(state.upstreams().at(upstream_id("u")).state == upstream_state::serving);
+    }
+
+    // Guards against fields that are written and not read.
+    void snapshotAndCommandsSurviveTheirTextForm()
+    {
+        upstream_life silent = lifeOf("u", 100, 7);
+        silent.silent = true;
+        silent.coldFor = milliseconds(1'500);
+        const serving_entry entry{endpoint_address("10.0.0.9:80"), region_name("r"),
+                                  zone_name("a")};
+        const std::vector<fleet_command> commands
+            = {configure(0, 4, "text \"quoted\""), evacuate_command{zone_name("a"), true},
+               roster_command{{silent}, {entry}, {endpoint_address("10.0.0.8:80")}}};
+        fleet_state state;
+        for (const fleet_command &command : commands) {
+            CPPUNIT_ASSERT(decodeFleetCommand(encodeFleetCommand(command)) == command);
+            state.apply(command);
+        }
+        fleet_state restored;
+        restored.restore(state.snapshot());
+        CPPUNIT_ASSERT(restored == state);
+    }
+
+    // Guards against a configuration that cannot be carried out being put in force.
+    void contradictoryConfigurationsAreRefused()
+    {
+        checkConfiguration(goodConfiguration());
+        const std::vector<configuration_case> cases = {
+            {"unknown service",
+             [](auto &value) { value.routes[0].parts[0].service = service_name("other"); }},
+            {"same place", [](auto &value) { value.routes.push_back(value.routes[0]); }},
+            {"same place in another case",
+             [](auto &value) {
+                 value.routes.push_back(value.routes[0]);
+                 value.routes[1].host = "A.example";
+             }},
+            {"long timeout",
+             [](auto &value) { value.routes[0].timeout = milliseconds(600'001); }},
+            {"target a minute above the timeout",
+             [](auto &value) {
+                 value.routes[0].latencyTarget = value.routes[0].timeout + milliseconds(60'000);
+             }},
+            {"old version", [](auto &value) { value.version = value.base; }},
+            {"no weight", [](auto &value) { value.routes[0].parts[0].weight = 0; }},
+            {"prefix without a slash", [](auto &value) { value.routes[0].pathPrefix = "/x"; }},
+        };
+        for (const configuration_case &each : cases) {
+            traffic_configuration configuration = goodConfiguration();
+            each.spoil(configuration);
+            CPPUNIT_ASSERT_THROW_MESSAGE(each.name, checkConfiguration(configuration), error);
+        }
+    }
+
+    // Guards against a request that runs at the service of another route.
+    void longestPrefixOfTheHostIsFound()
+    {
+        traffic_configuration configuration = goodConfiguration();
+        traffic_route inner = configuration.routes[0];
+        inner.name = "inner";
+        inner.pathPrefix = "/x/y/";
+        configuration.routes.push_back(inner);
+        const route_table table(configuration);
+        const std::vector<route_case> cases
+            = {{"a.example", "/x/1", "r"},         {"a.example", "/x/y/1", "inner"},
+               {"A.EXAMPLE:80", "/x/y/", "inner"}, {"a.example", "/x/yy", "r"},
+               {"a.example", "/x", ""},            {"b.example", "/x/1", ""}};
+        for (const route_case &each : cases) {
+            const traffic_route *const found = table.find(each.host, each.path);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.host + each.path, each.expected,
+                                         found == nullptr ? std::string() : found->name);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(fleet_state_test);
--- /dev/null
+++ b/tests/relay/upstream_choice_test.cpp
@@ -0,0 +1,240 @@
+#include "kingcuptiller/relay/shared_retry_budget.h"
+#include "kingcuptiller/relay/upstream_choice.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+using namespace kingcuptiller;
+
+namespace {
+
+const service_name lookups("lookups");
+
+struct choice_world
+{
+    choice_world()
+        : choices(settings())
+    {
+        traffic_configuration configuration;
+        configuration.services = {{lookups, 390, milliseconds(3'000), 8}};
+        routes = route_table(configuration);
+        for (int i = 0; i < 3; ++i) {
+            add("home-" + std::to_string(i), "home-a");
+            add("far-" + std::to_string(i), "far-a");
+        }
+        view.entries.resize(2);
+        choices.update(view, routes, now);
+    }
+
+    static choice_settings settings()
+    {
+        choice_settings result;
+        result.region = region_name("home");
+        result.zone = zone_name("home-a");
+        result.regions = {{zone_name("home-a"), region_name("home")},
+                          {zone_name("far-a"), region_name("far")}};
+        return result;
+    }
+
+    void add(const std::string &id, const std::string &zone)
+    {
+        upstream_life life;
+        life.id = upstream_id(id);
+        life.bornMs = 1;
+        life.address = endpoint_address("10.0.0.1:80");
+        life.service = lookups;
+        life.zone = zone_name(zone);
+        life.slots = 4;
+        view.upstreams.push_back(life);
+    }
+
+    std::string choose(const std::string &object = "", std::set<upstream_id> tried = {})
+    {
+        no_choice reason;
+        const auto chosen = choices.choose({lookups,
+                                            object,
+                                            {},
+                                            milliseconds(600),
+                                            milliseconds(4'000),
+                                            std::move(tried)},
+                                           now, reason);
+        return chosen ? chosen->life.id.text() : std::string();
+    }
+
+    // Sends one request to its end.
+    std::string serve(const std::string &object, milliseconds elapsed = milliseconds(300),
+                      sending_outcome outcome = sending_outcome::answered)
+    {
+        const std::string id = choose(object);
+        if (id.empty())
+            return id;
+        const object_knowledge knowledge = choices.started(upstream_id(id), object, now);
+        now += elapsed;
+        choices.finished(upstream_id(id), knowledge, outcome, elapsed, std::nullopt, now);
+        return id;
+    }
+
+    // Lets the start pass, so that the spread at the beginning does not matter.
+    void warmUp()
+    {
+        for (int i = 0; i < 40; ++i)
+            serve("object-" + std::to_string(i));
+    }
+
+    fleet_view view;
+    route_table routes;
+    instant now{std::chrono::seconds(100)};
+    upstream_choice choices;
+};
+
+} // namespace
+
+class upstream_choice_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(upstream_choice_test);
+    CPPUNIT_TEST(requestsForAnObjectReturnToItsUpstream);
+    CPPUNIT_TEST(homeIsPreferredWhileItHasRoom);
+    CPPUNIT_TEST(evacuatedZonesGetNothing);
+    CPPUNIT_TEST(triedUpstreamsAreNotChosenAgain);
+    CPPUNIT_TEST(failingUpstreamIsAvoided);
+    CPPUNIT_TEST(upstreamThatJoinedGetsARequest);
+    CPPUNIT_TEST(coldUpstreamGetsAPartOfItsRate);
+    CPPUNIT_TEST(requestsWithoutAnObjectDoNotTeachTheTimeOfUnfamiliarOnes);
+    CPPUNIT_TEST(fullUpstreamsRefuse);
+    CPPUNIT_TEST(retriesOfAllEntriesStayWithinTheBudget);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against losing the speed of an upstream that knows the object.
+    void requestsForAnObjectReturnToItsUpstream()
+    {
+        choice_world world;
+        world.warmUp();
+        const std::string first = world.serve("object-a");
+        for (int i = 0; i < 10; ++i)
+            CPPUNIT_ASSERT_EQUAL(first, world.serve("object-a"));
+    }
+
+    // Guards against paying for bytes between regions without need.
+    void homeIsPreferredWhileItHasRoom()
+    {
+        choice_world world;
+        world.warmUp();
+        for (int i = 0; i < 20; ++i) {
+            const std::string id = world.serve("object-" + std::to_string(i));
+            CPPUNIT_ASSERT_MESSAGE(id, id.starts_with("home"));
+        }
+    }
+
+    // Guards against requests to a zone that is being emptied.
+    void evacuatedZonesGetNothing()
+    {
+        choice_world world;
+        world.view.evacuated.insert(zone_name("home-a"));
+        world.choices.update(world.view, world.routes, world.now);
+        for (int i = 0; i < 20; ++i)
+            CPPUNIT_ASSERT(world.serve("object").starts_with("far"));
+    }
+
+    // Guards against a retry at the upstream that has just failed the request.
+    void triedUpstreamsAreNotChosenAgain()
+    {
+        choice_world world;
+        std::set<upstream_id> tried;
+        for (std::size_t i = 0; i < world.view.upstreams.size(); ++i) {
+            const std::string id = world.choose("object", tried);
+            CPPUNIT_ASSERT(!id.empty());
+            CPPUNIT_ASSERT(tried.insert(upstream_id(id)).second);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), world.choose("object", tried));
+    }
+
+    // Guards against sending on to an upstream to which no connection can be made.
+    void failingUpstreamIsAvoided()
+    {
+        choice_world world;
+        world.warmUp();
+        const std::string dead = world.serve("object", milliseconds(1),
+                                             sending_outcome::unreachable);
+        for (int i = 0; i < 3; ++i)
+            CPPUNIT_ASSERT(world.serve("object", milliseconds(50)) != dead);
+    }
+
+    // Guards against upstreams that join and stay idle because they know no objects.
+    void upstreamThatJoinedGetsARequest()
+    {
+        choice_world world;
+        world.warmUp();
+        world.add("home-new", "home-a");
+        world.choices.update(world.view, world.routes, world.now);
+        CPPUNIT_ASSERT_EQUAL(std::string("home-new"), world.serve("object-1"));
+    }
+
+    // Guards against crashing a cold upstream: two entries share 8 requests a second.
+    void coldUpstreamGetsAPartOfItsRate()
+    {
+        choice_world world;
+        for (upstream_life &life : world.view.upstreams) {
+            life.sequence = 1;
+            life.coldFor = milliseconds(3'000);
+        }
+        world.choices.update(world.view, world.routes, world.now);
+        std::map<std::string, int> sent;
+        for (int i = 0; i < 1'000; ++i)
+            ++sent[world.serve("object-" + std::to_string(i % 7), milliseconds(1))];
+        for (const upstream_life &life : world.view.upstreams)
+            CPPUNIT_ASSERT_MESSAGE(life.id.text(), sent[life.id.text()] <= 5);
+    }
+
+    // Guards against the fault by which probes of routes lowered the time expected of real work.
+    void requestsWithoutAnObjectDoNotTeachTheTimeOfUnfamiliarOnes()
+    {
+        choice_world world;
+        world.warmUp();
+        for (int i = 0; i < 200; ++i)
+            world.serve("", milliseconds(3));
+        no_choice reason;
+        const auto chosen = world.choices.choose(
+            {lookups, "never-seen", {}, milliseconds(600), milliseconds(4'000), {}}, world.now,
+            reason);
+        CPPUNIT_ASSERT(chosen);
+        CPPUNIT_ASSERT(chosen->expected >= milliseconds(150));
+    }
+
+    // Guards against queues in which no request is answered in time.
+    void fullUpstreamsRefuse()
+    {
+        choice_world world;
+        int taken = 0;
+        for (std::string id = world.choose("object"); !id.empty(); id = world.choose("object")) {
+            static_cast<void>(world.choices.started(upstream_id(id), "object", world.now));
+            CPPUNIT_ASSERT(++taken <= 6 * 4 * 3);
+        }
+        CPPUNIT_ASSERT(taken >= 6 * 4);
+    }
+
+    // Guards against a retry storm: seven entries, all requests fail, any window of 10 s.
+    void retriesOfAllEntriesStayWithinTheBudget()
+    {
+        const retry_limits limits;
+        const instant begin{std::chrono::seconds(100)};
+        int repeats = 0;
+        int requests = 0;
+        for (int entry = 0; entry < 7; ++entry) {
+            shared_retry_budget budget(limits);
+            budget.setEntries(7);
+            for (int i = 0; i < 1'000; ++i) {
+                const instant now = begin + milliseconds(10 * i);
+                budget.request(lookups, now);
+                ++requests;
+                while (budget.spend(lookups, now))
+                    ++repeats;
+            }
+        }
+        CPPUNIT_ASSERT(repeats > 0);
+        CPPUNIT_ASSERT(repeats <= limits.share * requests + limits.slack);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(upstream_choice_test);
