--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -122,7 +122,8 @@
     [[nodiscard]] std::optional<chosen_upstream> choose(const choice_request &request, instant now,
                                                         no_choice &reason);
     // Returns what the upstream knew of the object; `finished` takes it back.
-    [[nodiscard]] object_knowledge started(const upstream_id &id, const std::string &object, instant now);
+    [[nodiscard]] object_knowledge started(const upstream_id &id, const std::string &object,
+                                           instant now);
     void finished(const upstream_id &id, object_knowledge knowledge, sending_outcome outcome,
                   microseconds elapsed, const std::optional<upstream_load> &load, instant now);
     // The way to a zone and back as a new connection showed it.
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -339,8 +339,7 @@
 }
 
 void request_relay::noteLoad(const chosen_upstream &upstream, const sending_result &result,
-                             sending_outcome outcome, object_knowledge knowledge,
-                             instant sent)
+                             sending_outcome outcome, object_knowledge knowledge, instant sent)
 {
     const instant now = m_options.now();
     std::optional<upstream_load> load;
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -188,8 +188,7 @@
 
 region_index upstream_choice::indexOf(const region_name &region)
 {
-    return m_regionIndexes
-        .try_emplace(region, static_cast<region_index>(m_regionIndexes.size()))
+    return m_regionIndexes.try_emplace(region, static_cast<region_index>(m_regionIndexes.size()))
         .first->second;
 }
 
@@ -201,8 +200,8 @@
     std::map<flow_source, std::map<region_index, std::uint64_t>> slots;
     for (const auto &[id, upstream] : m_upstreams) {
         const service_record &service = m_services.at(upstream.life.service);
-        slots[{service.index, indexOf(m_settings.region)}][indexOf(upstream.region)]
-            += upstream.life.slots;
+        slots[{service.index, indexOf(m_settings.region)}][indexOf(upstream.region)] +=
+            upstream.life.slots;
     }
     std::vector<counted_flow> flows;
     for (const auto &[source, regions] : slots) {
@@ -297,7 +296,8 @@
     return chosen_upstream{best->life, milliseconds(std::llround(bestExpected))};
 }
 
-object_knowledge upstream_choice::started(const upstream_id &id, const std::string &object, instant now)
+object_knowledge upstream_choice::started(const upstream_id &id, const std::string &object,
+                                          instant now)
 {
     const auto found = m_upstreams.find(id);
     if (found == m_upstreams.end())
@@ -350,8 +350,8 @@
     upstream.avoidUntil = now + upstream.lastAvoidance;
 }
 
-void upstream_choice::noteDuration(upstream_record &upstream, object_knowledge knowledge, microseconds elapsed,
-                                   instant now)
+void upstream_choice::noteDuration(upstream_record &upstream, object_knowledge knowledge,
+                                   microseconds elapsed, instant now)
 {
     service_record &service = m_services[upstream.life.service];
     // Time in the upstream's queue says nothing about its work.
@@ -366,9 +366,9 @@
     usual += (work - usual) * durationWeight / std::max(upstream.slowness, 1.0);
 }
 
-void upstream_choice::finished(const upstream_id &id, object_knowledge knowledge, sending_outcome outcome,
-                               microseconds elapsed, const std::optional<upstream_load> &load,
-                               instant now)
+void upstream_choice::finished(const upstream_id &id, object_knowledge knowledge,
+                               sending_outcome outcome, microseconds elapsed,
+                               const std::optional<upstream_load> &load, instant now)
 {
     const auto found = m_upstreams.find(id);
     if (found == m_upstreams.end())
--- /dev/null
+++ b/tests/consensus/admission_test.cpp
@@ -0,0 +1,207 @@
+#include "kingcuptiller/consensus/replica.h"
+#include "tests/storage/fake_disk.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace kingcuptiller;
+using namespace kingcuptiller::testing;
+
+namespace {
+
+// Control hosts of which only the first three are listed in anyone's settings.
+class seeded_fleet
+{
+public:
+    explicit seeded_fleet(std::size_t maximumVoters)
+        : m_maximumVoters(maximumVoters)
+    {
+    }
+
+    void start(const std::string &host, bool founding)
+    {
+        member &each = m_members[host];
+        each.store = std::make_unique<replica_store>(
+            each.files.hooks(), store_options{host_id(host), founding, [this, host] {
+                                                  return host + std::to_string(m_random());
+                                              }});
+        replica_settings settings;
+        settings.hosts = {host_id("a"), host_id("b"), host_id("c")};
+        settings.maximumVoters = m_maximumVoters;
+        each.log = std::make_unique<replica>(settings,
+                                             replica_hooks{[] { return std::string(); },
+                                                           [](const std::string &) {},
+                                                           [this] { return m_random(); }},
+                                             *each.store, m_now);
+    }
+
+    void stop(const std::string &host)
+    {
+        m_members[host].log.reset();
+        m_members[host].store.reset();
+    }
+
+    void run(milliseconds duration)
+    {
+        for (const instant end = m_now + duration; m_now < end; m_now += milliseconds(10))
+            step();
+    }
+
+    [[nodiscard]] replica *leader()
+    {
+        for (auto &[host, each] : m_members) {
+            if (each.log && each.log->hasLease(m_now))
+                return each.log.get();
+        }
+        return nullptr;
+    }
+
+    [[nodiscard]] std::set<std::string> voters()
+    {
+        std::set<std::string> result;
+        if (const replica *const leading = leader()) {
+            for (const replica_identity &voter : leading->status().members.voters)
+                result.insert(voter.host.text());
+        }
+        return result;
+    }
+
+    [[nodiscard]] replica &at(const std::string &host) { return *m_members.at(host).log; }
+    [[nodiscard]] instant now() const { return m_now; }
+
+private:
+    struct member
+    {
+        fake_disk files;
+        std::unique_ptr<replica_store> store;
+        std::unique_ptr<replica> log;
+    };
+
+    void step()
+    {
+        std::vector<peer_message> messages;
+        for (auto &[host, each] : m_members) {
+            if (!each.log)
+                continue;
+            each.log->tick(m_now);
+            const auto sent = each.log->takeOutgoing();
+            messages.insert(messages.end(), sent.begin(), sent.end());
+            static_cast<void>(each.log->takeCommitted());
+        }
+        for (const peer_message &message : messages) {
+            const auto to = m_members.find(message.to.host.text());
+            if (to != m_members.end() && to->second.log)
+                to->second.log->receive(message, m_now);
+        }
+    }
+
+    std::size_t m_maximumVoters;
+    std::mt19937_64 m_random{42};
+    instant m_now{std::chrono::seconds(10)};
+    std::map<std::string, member> m_members;
+};
+
+using names = std::set<std::string>;
+
+} // namespace
+
+class admission_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(admission_test);
+    CPPUNIT_TEST(hostsThatAreNotListedBecomeVoters);
+    CPPUNIT_TEST(newcomerTakesThePlaceOfALostVoter);
+    CPPUNIT_TEST(newcomerWaitsWhileAllVotersAreThere);
+    CPPUNIT_TEST(strangersAreIgnoredWithoutAMaximum);
+    CPPUNIT_TEST(startedHostIsNotCurrentBeforeItsLeaderCommits);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a fleet that stays at its three seeds and cannot bear the loss of a region.
+    void hostsThatAreNotListedBecomeVoters()
+    {
+        seeded_fleet fleet(5);
+        startFounders(fleet);
+        fleet.start("d", false);
+        fleet.start("e", false);
+        fleet.run(std::chrono::seconds(5));
+        CPPUNIT_ASSERT((fleet.voters() == names{"a", "b", "c", "d", "e"}));
+    }
+
+    // Guards against a majority that shrinks with each host that is replaced at a new address.
+    void newcomerTakesThePlaceOfALostVoter()
+    {
+        seeded_fleet fleet(3);
+        startFounders(fleet);
+        fleet.stop("b");
+        fleet.start("d", false);
+        fleet.run(std::chrono::seconds(8));
+        CPPUNIT_ASSERT((fleet.voters() == names{"a", "c", "d"}));
+        fleet.start("b", false);
+        fleet.run(std::chrono::seconds(5));
+        CPPUNIT_ASSERT((fleet.voters() == names{"a", "c", "d"}));
+    }
+
+    void newcomerWaitsWhileAllVotersAreThere()
+    {
+        seeded_fleet fleet(3);
+        startFounders(fleet);
+        fleet.start("d", false);
+        fleet.run(std::chrono::seconds(5));
+        CPPUNIT_ASSERT((fleet.voters() == names{"a", "b", "c"}));
+    }
+
+    void strangersAreIgnoredWithoutAMaximum()
+    {
+        seeded_fleet fleet(0);
+        startFounders(fleet);
+        fleet.start("d", false);
+        fleet.run(std::chrono::seconds(5));
+        CPPUNIT_ASSERT((fleet.voters() == names{"a", "b", "c"}));
+    }
+
+    // Guards against the fault by which a host that was started again showed entries an older
+    // state: it knew a leader before it knew what had been committed.
+    void startedHostIsNotCurrentBeforeItsLeaderCommits()
+    {
+        seeded_fleet fleet(3);
+        startFounders(fleet);
+        for (int i = 0; i < 5; ++i) {
+            CPPUNIT_ASSERT(fleet.leader()->propose("command", fleet.now()));
+            fleet.run(milliseconds(100));
+        }
+        const log_index committed = fleet.leader()->status().committed;
+        for (const char *host : {"a", "b", "c"})
+            fleet.stop(host);
+        for (const char *host : {"a", "b", "c"})
+            fleet.start(host, false);
+        bool anyCurrent = false;
+        for (int i = 0; i < 400; ++i) {
+            fleet.run(milliseconds(10));
+            for (const char *host : {"a", "b", "c"}) {
+                if (!fleet.at(host).isCurrent(fleet.now()))
+                    continue;
+                anyCurrent = true;
+                CPPUNIT_ASSERT(fleet.at(host).status().committed >= committed);
+            }
+        }
+        CPPUNIT_ASSERT(anyCurrent);
+    }
+
+private:
+    static void startFounders(seeded_fleet &fleet)
+    {
+        for (const char *host : {"a", "b", "c"})
+            fleet.start(host, true);
+        fleet.run(std::chrono::seconds(4));
+        CPPUNIT_ASSERT((fleet.voters() == names{"a", "b", "c"}));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(admission_test);
--- a/tests/fleet/fleet_state_test.cpp
+++ b/tests/fleet/fleet_state_test.cpp
@@ -123,9 +123,9 @@
         silent.coldFor = milliseconds(1'500);
         const serving_entry entry{endpoint_address("10.0.0.9:80"), region_name("r"),
                                   zone_name("a")};
-        const std::vector<fleet_command> commands
-            = {configure(0, 4, "text \"quoted\""), evacuate_command{zone_name("a"), true},
-               roster_command{{silent}, {entry}, {endpoint_address("10.0.0.8:80")}}};
+        const std::vector<fleet_command> commands = {
+            configure(0, 4, "text \"quoted\""), evacuate_command{zone_name("a"), true},
+            roster_command{{silent}, {entry}, {endpoint_address("10.0.0.8:80")}}};
         fleet_state state;
         for (const fleet_command &command : commands) {
             CPPUNIT_ASSERT(decodeFleetCommand(encodeFleetCommand(command)) == command);
@@ -149,8 +149,7 @@
                  value.routes.push_back(value.routes[0]);
                  value.routes[1].host = "A.example";
              }},
-            {"long timeout",
-             [](auto &value) { value.routes[0].timeout = milliseconds(600'001); }},
+            {"long timeout", [](auto &value) { value.routes[0].timeout = milliseconds(600'001); }},
             {"target a minute above the timeout",
              [](auto &value) {
                  value.routes[0].latencyTarget = value.routes[0].timeout + milliseconds(60'000);
@@ -175,10 +174,12 @@
         inner.pathPrefix = "/x/y/";
         configuration.routes.push_back(inner);
         const route_table table(configuration);
-        const std::vector<route_case> cases
-            = {{"a.example", "/x/1", "r"},         {"a.example", "/x/y/1", "inner"},
-               {"A.EXAMPLE:80", "/x/y/", "inner"}, {"a.example", "/x/yy", "r"},
-               {"a.example", "/x", ""},            {"b.example", "/x/1", ""}};
+        const std::vector<route_case> cases = {{"a.example", "/x/1", "r"},
+                                               {"a.example", "/x/y/1", "inner"},
+                                               {"A.EXAMPLE:80", "/x/y/", "inner"},
+                                               {"a.example", "/x/yy", "r"},
+                                               {"a.example", "/x", ""},
+                                               {"b.example", "/x/1", ""}};
         for (const route_case &each : cases) {
             const traffic_route *const found = table.find(each.host, each.path);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(each.host + each.path, each.expected,
--- a/tests/platform/wire_codec_test.cpp
+++ b/tests/platform/wire_codec_test.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-const std::string service
-    = R"({"resourceKind":"services","metadata":{"name":"s"},"spec":{"healthPath":"/health",)"
-      R"("maxConnections":390,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":8.0}})";
+const std::string service =
+    R"({"resourceKind":"services","metadata":{"name":"s"},"spec":{"healthPath":"/health",)"
+    R"("maxConnections":390,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":8.0}})";
 
 std::string route(const std::string &name, const std::string &more)
 {
@@ -69,11 +69,11 @@
         expected.maximumAttempts = 2;
         expected.affinity = true;
         CPPUNIT_ASSERT(read.routes == std::vector<traffic_route>{expected});
-        CPPUNIT_ASSERT((read.services
-                        == std::vector<service_settings>{
-                            {service_name("s"), 390, milliseconds(3'000), 8.0}}));
-        CPPUNIT_ASSERT((read.limits
-                        == client_limits{100, 200, milliseconds(300), milliseconds(400)}));
+        CPPUNIT_ASSERT(
+            (read.services
+             == std::vector<service_settings>{{service_name("s"), 390, milliseconds(3'000), 8.0}}));
+        CPPUNIT_ASSERT(
+            (read.limits == client_limits{100, 200, milliseconds(300), milliseconds(400)}));
     }
 
     // Guards against a half-read order that is put in force.
@@ -86,11 +86,14 @@
             {"old version", document(R"("r5")", R"("r5")", service)},
             {"version of another type", document("{}", R"("r5")", service)},
             {"unknown service", document(R"("r7")", R"("r5")", good)},
-            {"no service", document(R"("r7")", R"("r5")", service + "," + route("r", R"("kind":"safe")"))},
+            {"no service",
+             document(R"("r7")", R"("r5")", service + "," + route("r", R"("kind":"safe")"))},
             {"negative weight",
-             document(R"("r7")", R"("r5")",
-                      service + ","
-                          + route("r", R"("kind":"safe","trafficSplit":[{"service":"s","weight":-1}])"))},
+             document(
+                 R"("r7")", R"("r5")",
+                 service + ","
+                     + route("r",
+                             R"("kind":"safe","trafficSplit":[{"service":"s","weight":-1}])"))},
             {"unknown kind",
              document(R"("r7")", R"("r5")",
                       R"({"resourceKind":"other","metadata":{"name":"x"},"spec":{}})")},
@@ -134,7 +137,8 @@
             {"unknown state",
              R"({"address":"10.0.0.9:80",)" + info + R"(,"status":{"state":"odd","sequence":4}})"},
             {"sequence of another type",
-             R"({"address":"10.0.0.9:80",)" + info + R"(,"status":{"state":"ready","sequence":"4"}})"},
+             R"({"address":"10.0.0.9:80",)" + info
+                 + R"(,"status":{"state":"ready","sequence":"4"}})"},
             {"born of another type",
              R"({"address":"10.0.0.9:80","born":"x",)" + info + "," + status + "}"},
         };
@@ -153,8 +157,8 @@
                                    "[directory]\nlongest_lifetime = 1 s\n";
         const node_settings settings = parseNodeSettings(
             "f", common + "[listen]\ncontrol = 10.0.0.1:8544\ninternal_port = 7540\n");
-        CPPUNIT_ASSERT((settings.seeds
-                        == std::vector<host_id>{host_id("10.0.0.1"), host_id("10.0.0.2")}));
+        CPPUNIT_ASSERT(
+            (settings.seeds == std::vector<host_id>{host_id("10.0.0.1"), host_id("10.0.0.2")}));
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), settings.zones.size());
         CPPUNIT_ASSERT(settings.control && !settings.traffic && settings.founding);
         CPPUNIT_ASSERT(settings.shutdownLimit == milliseconds(4'000));
@@ -172,7 +176,8 @@
             {"no seeds", host + rest + "[control]\nseeds =\n"},
             {"unknown key", host + rest + seeds + "[process]\nodd = 1\n"},
             {"no port", host + "[places]\nzones = a=r\n" + seeds},
-            {"zone without region", host + "[places]\nzones = a\n[listen]\ninternal_port = 7540\n" + seeds},
+            {"zone without region",
+             host + "[places]\nzones = a\n[listen]\ninternal_port = 7540\n" + seeds},
             {"control without a folder",
              host + "[places]\nzones = a=r\n[listen]\ninternal_port = 7540\ncontrol = 10.0.0.1:80\n"
                  + seeds},
--- /dev/null
+++ b/tests/relay/request_relay_test.cpp
@@ -0,0 +1,307 @@
+#include "kingcuptiller/relay/request_relay.h"
+
+#include "kingcuptiller/transport/system_clock.h"
+#include "tests/support/scripted_server.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <mutex>
+#include <optional>
+#include <thread>
+
+using namespace kingcuptiller;
+
+namespace {
+
+namespace asio = boost::asio;
+
+const std::string sealed =
+    "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Seal: s\r\nContent-Length: 4\r\n\r\nbody";
+
+// A relay with one upstream, on loopback, in a thread of its own.
+class relay_world
+{
+public:
+    explicit relay_world(std::uint16_t upstreamPort, std::uint64_t bodyLimit = 1'000)
+        : m_work(asio::make_work_guard(m_context))
+        , m_relay(m_context, options(), m_counters)
+        , m_server(
+              m_context, toEndpoint("127.0.0.1:0"),
+              [this](const relay_request &request, client_presence &client) {
+                  return m_relay.handle(request, client);
+              },
+              [this] { return m_relay.limits(); })
+    {
+        traffic_configuration configuration;
+        configuration.version = revision_number(1);
+        configuration.limits.bodyBytes = bodyLimit;
+        configuration.services = {{service_name("s"), 390, milliseconds(0), 0}};
+        for (const bool idempotent : {true, false}) {
+            traffic_route route;
+            route.name = idempotent ? "reads" : "writes";
+            route.host = "a.example";
+            route.pathPrefix = "/" + route.name + "/";
+            route.idempotent = idempotent;
+            route.timeout = milliseconds(5'000);
+            route.parts = {{service_name("s"), 1}};
+            route.maximumAttempts = 2;
+            configuration.routes.push_back(route);
+        }
+        fleet_view view;
+        upstream_life life;
+        life.id = upstream_id("u");
+        life.address = endpoint_address("127.0.0.1:" + std::to_string(upstreamPort));
+        life.service = service_name("s");
+        life.zone = zone_name("a");
+        life.slots = 4;
+        view.upstreams = {life};
+        m_relay.update(view, configuration);
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+
+    ~relay_world()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+    relay_world(const relay_world &) = delete;
+    relay_world &operator=(const relay_world &) = delete;
+
+    asio::ip::tcp::socket connect()
+    {
+        asio::ip::tcp::socket socket(m_clientContext);
+        socket.connect(m_server.address());
+        return socket;
+    }
+
+    // Sends bytes on a new connection and returns all that comes until the relay closes it.
+    std::string ask(const std::string &bytes)
+    {
+        asio::ip::tcp::socket socket = connect();
+        asio::write(socket, asio::buffer(bytes));
+        std::string answer;
+        boost::system::error_code ignored;
+        asio::read(socket, asio::dynamic_buffer(answer), ignored);
+        return answer;
+    }
+
+    std::string request(const std::string &route)
+    {
+        return "POST /" + route + "/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: 7\r\nX-Time: 4000\r\n"
+            + "Connection: close\r\nContent-Length: 2\r\n\r\nhi";
+    }
+
+private:
+    static relay_options options()
+    {
+        relay_options result;
+        result.headers = {"X-Id",     "X-Time", "X-Object", "X-Upstream", "X-Seal",
+                          "X-NotRun", "X-Load", "X-Cold",   "Retry-After"};
+        result.choice.region = region_name("r");
+        result.choice.zone = zone_name("a");
+        result.choice.regions = {{zone_name("a"), region_name("r")}};
+        result.now = readInstant;
+        return result;
+    }
+
+    asio::io_context m_context;
+    asio::io_context m_clientContext;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    counter_registry m_counters;
+    request_relay m_relay;
+    traffic_server m_server;
+    std::thread m_thread;
+};
+
+std::string statusOf(const std::string &answer)
+{
+    return answer.size() < 12 ? answer : answer.substr(9, 3);
+}
+
+struct answer_case
+{
+    std::string name;
+    std::string route;
+    std::string upstream;
+    std::string expectedStatus;
+    std::string expectedBody;
+};
+
+} // namespace
+
+class request_relay_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(request_relay_test);
+    CPPUNIT_TEST(clientsAreToldTheTruth);
+    CPPUNIT_TEST(bytesAfterAnAnswerEndTheUseOfItsConnection);
+    CPPUNIT_TEST(completeAnswersKeepTheirConnection);
+    CPPUNIT_TEST(unreachableUpstreamProvesThatNothingRan);
+    CPPUNIT_TEST(requestIsForwardedUnchangedButForItsOwnHeaders);
+    CPPUNIT_TEST(bodyAboveTheLimitIsRefusedUnread);
+    CPPUNIT_TEST(malformedRequestsAreRefused);
+    CPPUNIT_TEST(upstreamIsToldThatTheClientLeft);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a request that runs twice, a refusal that is not true, and a success that is
+    // not the upstream's whole answer to this request.
+    void clientsAreToldTheTruth()
+    {
+        const std::string foreign =
+            "HTTP/1.1 200 OK\r\nX-Id: 6\r\nX-Seal: s\r\nContent-Length: 5\r\n\r\nother";
+        const std::vector<answer_case> cases = {
+            {"success", "writes", sealed, "200", "body"},
+            {"closed without an answer", "writes", "", "502", ""},
+            {"closed without an answer", "reads", "", "502", ""},
+            {"cut short", "writes",
+             "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Seal: s\r\nConnection: close\r\n"
+             "Content-Length: 4\r\n\r\nbod",
+             "502", ""},
+            {"not HTTP", "writes", "garbage\r\n\r\n", "502", ""},
+            {"not sealed", "writes", "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n",
+             "502", ""},
+            {"answer to another request first", "writes", foreign + sealed, "200", "body"},
+            {"only an answer to another request", "writes",
+             "HTTP/1.1 200 OK\r\nX-Id: 6\r\nX-Seal: s\r\nConnection: close\r\n"
+             "Content-Length: 0\r\n\r\n",
+             "502", ""},
+            {"refused truthfully", "writes",
+             "HTTP/1.1 503 Full\r\nX-NotRun: 1\r\nContent-Length: 0\r\n\r\n", "503", ""},
+            {"failed", "writes", "HTTP/1.1 500 Bad\r\nX-Seal: s\r\nContent-Length: 3\r\n\r\nbad",
+             "500", "bad"},
+            {"without length", "writes",
+             "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Seal: s\r\nConnection: close\r\n\r\nbody", "200",
+             "body"},
+            {"chunked", "writes",
+             "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+             "4\r\nbody\r\n0\r\n\r\n",
+             "200", "body"},
+        };
+        for (const answer_case &each : cases) {
+            // One answer a connection, then a close.
+            scripted_server upstream([&](int request, const std::string &) {
+                return request == 1 ? each.upstream : std::string();
+            });
+            relay_world world(upstream.port());
+            const std::string answer = world.ask(world.request(each.route));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.name + " " + each.route, each.expectedStatus,
+                                         statusOf(answer));
+            CPPUNIT_ASSERT_MESSAGE(each.name, answer.ends_with(each.expectedBody));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.name, 1, upstream.requests());
+        }
+    }
+
+    // Guards against an answer of nobody's being handed to the next request.
+    void bytesAfterAnAnswerEndTheUseOfItsConnection()
+    {
+        scripted_server upstream([](int, const std::string &) { return sealed + "HTTP/1.1 200"; });
+        relay_world world(upstream.port());
+        for (int i = 0; i < 3; ++i)
+            CPPUNIT_ASSERT_EQUAL(std::string("200"), statusOf(world.ask(world.request("writes"))));
+        CPPUNIT_ASSERT_EQUAL(3, upstream.connections());
+    }
+
+    void completeAnswersKeepTheirConnection()
+    {
+        scripted_server upstream([](int, const std::string &) { return sealed; });
+        relay_world world(upstream.port());
+        for (int i = 0; i < 3; ++i)
+            CPPUNIT_ASSERT_EQUAL(std::string("200"), statusOf(world.ask(world.request("writes"))));
+        CPPUNIT_ASSERT_EQUAL(1, upstream.connections());
+    }
+
+    // Guards against an open outcome where the client could have tried again.
+    void unreachableUpstreamProvesThatNothingRan()
+    {
+        std::uint16_t port = 0;
+        {
+            const scripted_server gone([](int, const std::string &) { return std::string(); });
+            port = gone.port();
+        }
+        relay_world world(port);
+        const std::string answer = world.ask(world.request("writes"));
+        CPPUNIT_ASSERT_EQUAL(std::string("503"), statusOf(answer));
+        CPPUNIT_ASSERT(answer.find("Retry-After: ") != std::string::npos);
+    }
+
+    void requestIsForwardedUnchangedButForItsOwnHeaders()
+    {
+        std::string seen;
+        std::mutex mutex;
+        scripted_server upstream([&](int, const std::string &text) {
+            const std::lock_guard lock(mutex);
+            seen = text;
+            return sealed;
+        });
+        relay_world world(upstream.port());
+        world.ask("PUT /writes/a%20b?c=d HTTP/1.1\r\nHost: a.example\r\nX-Id: 7\r\nX-Time: 900\r\n"
+                  "X-Other: kept\r\nConnection: close, X-Mine\r\nX-Mine: 1\r\n"
+                  "Content-Length: 2\r\n\r\nhi");
+        const std::lock_guard lock(mutex);
+        for (const char *part :
+             {"PUT /writes/a%20b?c=d HTTP/1.1\r\n", "X-Id: 7\r\n", "X-Other: kept\r\n",
+              "X-Upstream: u\r\n", "Content-Length: 2\r\n", "\r\n\r\nhi"})
+            CPPUNIT_ASSERT_MESSAGE(part, seen.find(part) != std::string::npos);
+        CPPUNIT_ASSERT(seen.find("X-Mine") == std::string::npos);
+        CPPUNIT_ASSERT(seen.find("X-Time: 900") == std::string::npos);
+    }
+
+    // Guards against a client that makes an entry's memory grow.
+    void bodyAboveTheLimitIsRefusedUnread()
+    {
+        scripted_server upstream([](int, const std::string &) { return sealed; });
+        relay_world world(upstream.port(), 10);
+        const std::string answer =
+            world.ask("POST /writes/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: 7\r\n"
+                      "Content-Length: 99000000000\r\n\r\n");
+        CPPUNIT_ASSERT_EQUAL(std::string("413"), statusOf(answer));
+        CPPUNIT_ASSERT_EQUAL(0, upstream.requests());
+    }
+
+    // Guards against a second request smuggled behind a first one.
+    void malformedRequestsAreRefused()
+    {
+        scripted_server upstream([](int, const std::string &) { return sealed; });
+        relay_world world(upstream.port());
+        const std::string head = "POST /writes/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: 7\r\n";
+        for (const std::string &bytes :
+             {std::string("garbage\r\n\r\n"),
+              head + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+              head + "Content-Length: x\r\n\r\n"})
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(bytes, std::string("400"), statusOf(world.ask(bytes)));
+        CPPUNIT_ASSERT_EQUAL(std::string("404"),
+                             statusOf(world.ask("GET /other/ HTTP/1.1\r\nHost: a.example\r\n"
+                                                "Connection: close\r\n\r\n")));
+        CPPUNIT_ASSERT_EQUAL(0, upstream.requests());
+    }
+
+    // Guards against upstreams that work for clients which are gone.
+    void upstreamIsToldThatTheClientLeft()
+    {
+        asio::io_context context;
+        asio::ip::tcp::acceptor acceptor(context, toEndpoint("127.0.0.1:0"));
+        relay_world world(acceptor.local_endpoint().port());
+        std::optional<asio::ip::tcp::socket> client = world.connect();
+        asio::write(*client,
+                    asio::buffer(std::string("GET /reads/1 HTTP/1.1\r\nHost: a.example\r\n"
+                                             "X-Id: 7\r\nX-Time: 4000\r\n\r\n")));
+        asio::ip::tcp::socket upstream = acceptor.accept();
+        std::string request;
+        asio::read_until(upstream, asio::dynamic_buffer(request), "\r\n\r\n");
+        client.reset();
+        char byte = 0;
+        boost::system::error_code problem;
+        asio::read(upstream, asio::buffer(&byte, 1), problem);
+        CPPUNIT_ASSERT_MESSAGE(problem.message(),
+                               problem == asio::error::eof
+                                   || problem == asio::error::connection_reset);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(request_relay_test);
--- a/tests/relay/upstream_choice_test.cpp
+++ b/tests/relay/upstream_choice_test.cpp
@@ -52,13 +52,9 @@
     std::string choose(const std::string &object = "", std::set<upstream_id> tried = {})
     {
         no_choice reason;
-        const auto chosen = choices.choose({lookups,
-                                            object,
-                                            {},
-                                            milliseconds(600),
-                                            milliseconds(4'000),
-                                            std::move(tried)},
-                                           now, reason);
+        const auto chosen = choices.choose(
+            {lookups, object, {}, milliseconds(600), milliseconds(4'000), std::move(tried)}, now,
+            reason);
         return chosen ? chosen->life.id.text() : std::string();
     }
 
@@ -155,8 +151,8 @@
     {
         choice_world world;
         world.warmUp();
-        const std::string dead = world.serve("object", milliseconds(1),
-                                             sending_outcome::unreachable);
+        const std::string dead =
+            world.serve("object", milliseconds(1), sending_outcome::unreachable);
         for (int i = 0; i < 3; ++i)
             CPPUNIT_ASSERT(world.serve("object", milliseconds(50)) != dead);
     }
--- a/tests/transport/scripted_server.cpp
+++ b/tests/support/scripted_server.cpp
@@ -1,4 +1,4 @@
-#include "tests/transport/scripted_server.h"
+#include "tests/support/scripted_server.h"
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
--- a/tests/transport/http_forwarder_test.cpp
+++ b/tests/transport/http_forwarder_test.cpp
@@ -1,6 +1,6 @@
 #include "kingcuptiller/transport/free_port.h"
 #include "kingcuptiller/transport/http_forwarder.h"
-#include "tests/transport/scripted_server.h"
+#include "tests/support/scripted_server.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -2,7 +2,7 @@
 #include "kingcuptiller/transport/http_forwarder.h"
 #include "kingcuptiller/transport/http_server.h"
 #include "kingcuptiller/values/error.h"
-#include "tests/transport/scripted_server.h"
+#include "tests/support/scripted_server.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
