--- a/include/kingcuptiller/node/fleet_feed.h
+++ b/include/kingcuptiller/node/fleet_feed.h
@@ -57,6 +57,7 @@
     std::shared_ptr<frame_connection> m_connection;
     host_id m_host;
     instant m_heard;
+    instant m_connected;
     instant m_dialUntil;
     // Grows with each round of connecting; late connections of a former round are closed.
     std::uint64_t m_round = 0;
--- a/src/node/fleet_feed.cpp
+++ b/src/node/fleet_feed.cpp
@@ -40,7 +40,7 @@
 
 void fleet_feed::scheduleTick()
 {
-    m_tick.expires_after(m_options.presenceInterval);
+    m_tick.expires_after(m_connection ? m_options.presenceInterval : dialPause);
     m_tick.async_wait([this](error_code problem) {
         if (problem)
             return;
@@ -94,6 +94,7 @@
     ++m_round;
     m_host = host;
     m_heard = m_options.now();
+    m_connected = m_heard;
     m_connection = std::make_shared<frame_connection>(std::move(socket));
     log_line(log_level::info, "entry", "control_connected").field("host", host.text());
     const auto *const connection = m_connection.get();
@@ -134,7 +135,10 @@
 {
     m_heard = m_options.now();
     if (received.kind == frame_kind::stale) {
-        drop("without_leader");
+        // After a start of the whole system no host has a leader; this one sends the view as soon
+        // as it has one.
+        if (m_commands > 0 || m_heard - m_connected >= m_options.silence)
+            drop("without_leader");
         return;
     }
     if (received.kind != frame_kind::view)
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -36,10 +36,12 @@
 constexpr double spreadMs = 30;
 // A silent upstream is used only when nothing else is there.
 constexpr double silencePenaltyMs = 2'000;
-// What a region costs at first that gets more than its share of the requests; it falls to nothing
-// within the spread time.
-constexpr double firstShiftPenaltyMs = 2'000;
+// What a region costs that gets more than its share of the requests: much while all objects are
+// new, then less, so that the return to near upstreams is slow and a burst may still spread.
+constexpr double spreadPenaltyMs = 1'000;
 constexpr milliseconds spreadTime{2'000};
+constexpr double returnPenaltyMs = 200;
+constexpr milliseconds returnTime{8'000};
 // An upstream that joined knows no objects and would get nothing while the others have room, so its
 // first request is sent to it regardless.
 constexpr double untriedBonusMs = 5'000;
@@ -214,12 +216,12 @@
 double upstream_choice::shiftPenaltyMs(const service_record &service, const region_name &region,
                                        bool counted, instant now)
 {
-    const double age = toMs(now - *m_firstRequest) / toMs(spreadTime);
-    if (age >= 1
+    const milliseconds age = std::chrono::duration_cast<milliseconds>(now - *m_firstRequest);
+    if (age >= returnTime
         || m_shift.mayForward({service.index, indexOf(m_settings.region)}, indexOf(region),
                               shiftRank, counted, now))
         return 0;
-    return firstShiftPenaltyMs * (1 - age);
+    return age < spreadTime ? spreadPenaltyMs : returnPenaltyMs;
 }
 
 void upstream_choice::refillColdTokens(upstream_record &upstream, const service_record &service,
