--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -21,7 +21,8 @@
 // A report of other entries' requests loses its meaning with the time that such a request takes.
 constexpr double reportMemoryMs = 1'000;
 // An upstream with so many requests waiting for each slot is full. Upstreams refuse truthfully when
-// their queue is full, and slots stay idle when entries, which know little of each other, stop sooner.
+// their queue is full, and slots stay idle when entries, which know little of each other, stop
+// sooner.
 constexpr double waitingForEachSlot = 3.5;
 // A share of the time left that the expected answer may take.
 constexpr double usableTimeShare = 0.9;
