--- a/include/kingcuptiller/node/control_node.h
+++ b/include/kingcuptiller/node/control_node.h
@@ -62,9 +62,6 @@
     // The newest configuration as it was sent; nothing when this host cannot be sure of it.
     [[nodiscard]] boost::asio::awaitable<std::optional<std::string>> readDocument();
 
-    [[nodiscard]] replica_status status() const { return m_replica->status(); }
-    [[nodiscard]] const fleet_state &state() const { return m_control->state(); }
-
 private:
     struct call_answer
     {
--- a/include/kingcuptiller/node/frame_connection.h
+++ b/include/kingcuptiller/node/frame_connection.h
@@ -58,7 +58,6 @@
     void start(std::function<void(frame)> onFrame, std::function<void()> onClose);
     void send(frame_kind kind, const std::string &body);
     void close();
-    [[nodiscard]] bool isOpen() const { return m_socket.is_open(); }
 
 private:
     void readHeader();
--- a/include/kingcuptiller/relay/http_types.h
+++ b/include/kingcuptiller/relay/http_types.h
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -20,6 +21,10 @@
 // "IP:port" as an address to connect to or listen on. Throws `error` with `settings_invalid`.
 [[nodiscard]] tcp_endpoint toEndpoint(const std::string &text);
 
+// An acceptor that listens. Throws `error` with `port_unavailable`.
+[[nodiscard]] boost::asio::ip::tcp::acceptor openListener(boost::asio::io_context &context,
+                                                          const tcp_endpoint &address);
+
 // An answer of this system with a plain text body.
 [[nodiscard]] relay_response ownAnswer(boost::beast::http::status status, const std::string &text);
 
--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -131,8 +131,6 @@
     // An upstream said that it is cold for so long.
     void noteCold(const upstream_id &id, milliseconds remaining, instant now);
 
-    [[nodiscard]] bool knowsUpstreams() const { return !m_upstreams.empty(); }
-
 private:
     struct remembered_object
     {
--- a/include/kingcuptiller/relay/upstream_connections.h
+++ b/include/kingcuptiller/relay/upstream_connections.h
@@ -86,8 +86,6 @@
         broken,
         // As `broken`: the time was over.
         timed_out,
-        // As `broken`: the client left.
-        abandoned,
     };
 
     end kind = end::not_sent;
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -19,25 +19,13 @@
 control_node::control_node(asio::io_context &context, control_node_options options)
     : m_context(context)
     , m_options(std::move(options))
-    , m_acceptor(context)
+    , m_acceptor(
+          openListener(context, {asio::ip::make_address(m_options.host.text()), m_options.port}))
     , m_tick(context)
 {
     m_options.replicas.hosts = m_options.seeds;
     m_options.replicas.maximumVoters = m_options.maximumVoters;
     openReplica(m_options.founding);
-    error_code problem;
-    const tcp_endpoint address(asio::ip::make_address(m_options.host.text()), m_options.port);
-    m_acceptor.open(address.protocol(), problem);
-    if (!problem)
-        m_acceptor.set_option(asio::socket_base::reuse_address(true), problem);
-    if (!problem)
-        m_acceptor.bind(address, problem);
-    if (!problem)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, problem);
-    if (problem)
-        throw error(result_code::port_unavailable,
-                    "cannot listen on port " + std::to_string(m_options.port) + ": "
-                        + problem.message());
     asio::co_spawn(m_context, acceptAll(), asio::detached);
     for (const host_id &seed : m_options.seeds)
         noteHost(seed);
--- /dev/null
+++ b/src/relay/http_types.cpp
@@ -0,0 +1,57 @@
+#include "kingcuptiller/relay/http_types.h"
+
+#include "kingcuptiller/values/error.h"
+
+#include <exception>
+#include <string>
+
+namespace kingcuptiller {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+tcp_endpoint toEndpoint(const std::string &text)
+{
+    const std::size_t colon = text.rfind(':');
+    try {
+        if (colon != std::string::npos) {
+            const unsigned long port = std::stoul(text.substr(colon + 1));
+            if (port <= 65'535)
+                return {asio::ip::make_address(text.substr(0, colon)),
+                        static_cast<unsigned short>(port)};
+        }
+    } catch (const std::exception &) {
+        throw error(result_code::settings_invalid, "'" + text + "' is not an IP:port");
+    }
+    throw error(result_code::settings_invalid, "'" + text + "' is not an IP:port");
+}
+
+relay_response ownAnswer(http::status status, const std::string &text)
+{
+    relay_response answer(status, 11);
+    answer.set(http::field::content_type, "text/plain");
+    answer.body() = text;
+    answer.prepare_payload();
+    return answer;
+}
+
+asio::ip::tcp::acceptor openListener(asio::io_context &context, const tcp_endpoint &address)
+{
+    asio::ip::tcp::acceptor acceptor(context);
+    error_code problem;
+    acceptor.open(address.protocol(), problem);
+    if (!problem)
+        acceptor.set_option(asio::socket_base::reuse_address(true), problem);
+    if (!problem)
+        acceptor.bind(address, problem);
+    if (!problem)
+        acceptor.listen(asio::socket_base::max_listen_connections, problem);
+    if (problem)
+        throw error(result_code::port_unavailable,
+                    "cannot listen on " + address.address().to_string() + ":"
+                        + std::to_string(address.port()) + ": " + problem.message());
+    return acceptor;
+}
+
+} // namespace kingcuptiller
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -1,14 +1,12 @@
 #include "kingcuptiller/relay/request_relay.h"
 
+#include "header_text.h"
 #include "kingcuptiller/telemetry/log.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <exception>
-#include <set>
 #include <utility>
 
 namespace kingcuptiller {
@@ -24,51 +22,10 @@
 constexpr milliseconds shortestSending{5};
 constexpr milliseconds retryAfterNoUpstream{500};
 
-std::string_view view(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
-std::optional<std::int64_t> numberIn(std::string_view text)
-{
-    std::int64_t value = 0;
-    const auto read = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (read.ec != std::errc() || read.ptr != text.data() + text.size())
-        return std::nullopt;
-    return value;
-}
-
-std::optional<upstream_load> loadIn(std::string_view text)
-{
-    std::array<std::int64_t, 3> numbers{};
-    for (std::size_t i = 0; i < numbers.size(); ++i) {
-        const std::size_t comma = std::min(text.find(','), text.size());
-        const auto number = numberIn(text.substr(0, comma));
-        if (!number || *number < 0 || *number > 1'000'000)
-            return std::nullopt;
-        numbers[i] = *number;
-        text.remove_prefix(std::min(comma + 1, text.size()));
-    }
-    return upstream_load{static_cast<std::uint32_t>(numbers[0]),
-                         static_cast<std::uint32_t>(numbers[1]),
-                         static_cast<std::uint32_t>(numbers[2])};
-}
-
-// Headers that concern one connection only, and those that `Connection` names.
-void eraseConnectionHeaders(http::fields &fields)
-{
-    std::set<std::string> named;
-    const auto list = std::string(view(fields[http::field::connection]));
-    for (const auto &token : http::token_list(list))
-        named.emplace(view(token));
-    for (const std::string &each : named)
-        fields.erase(each);
-    for (const http::field each :
-         {http::field::connection, http::field::keep_alive, http::field::proxy_connection,
-          http::field::te, http::field::trailer, http::field::transfer_encoding,
-          http::field::upgrade, http::field::expect})
-        fields.erase(each);
-}
+using internal::eraseConnectionHeaders;
+using internal::loadIn;
+using internal::numberIn;
+using internal::view;
 
 } // namespace
 
@@ -315,8 +272,6 @@
     switch (result.kind) {
     case sending_result::end::not_sent:
         return sending_outcome::unreachable;
-    case sending_result::end::abandoned:
-        return sending_outcome::abandoned;
     case sending_result::end::broken:
         return sending_outcome::broken;
     case sending_result::end::timed_out:
--- a/src/relay/traffic_server.cpp
+++ b/src/relay/traffic_server.cpp
@@ -1,7 +1,6 @@
 #include "kingcuptiller/relay/traffic_server.h"
 
 #include "kingcuptiller/telemetry/log.h"
-#include "kingcuptiller/values/error.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -64,31 +63,6 @@
 
 } // namespace
 
-tcp_endpoint toEndpoint(const std::string &text)
-{
-    const std::size_t colon = text.rfind(':');
-    try {
-        if (colon != std::string::npos) {
-            const unsigned long port = std::stoul(text.substr(colon + 1));
-            if (port <= 65'535)
-                return {asio::ip::make_address(text.substr(0, colon)),
-                        static_cast<unsigned short>(port)};
-        }
-    } catch (const std::exception &) {
-        throw error(result_code::settings_invalid, "'" + text + "' is not an IP:port");
-    }
-    throw error(result_code::settings_invalid, "'" + text + "' is not an IP:port");
-}
-
-relay_response ownAnswer(http::status status, const std::string &text)
-{
-    relay_response answer(status, 11);
-    answer.set(http::field::content_type, "text/plain");
-    answer.body() = text;
-    answer.prepare_payload();
-    return answer;
-}
-
 void client_presence::leave()
 {
     m_left = true;
@@ -112,22 +86,10 @@
 traffic_server::traffic_server(asio::io_context &context, const tcp_endpoint &address,
                                request_handler handler, std::function<client_limits()> limits)
     : m_context(context)
-    , m_acceptor(context)
+    , m_acceptor(openListener(context, address))
     , m_handler(std::move(handler))
     , m_limits(std::move(limits))
 {
-    error_code problem;
-    m_acceptor.open(address.protocol(), problem);
-    if (!problem)
-        m_acceptor.set_option(asio::socket_base::reuse_address(true), problem);
-    if (!problem)
-        m_acceptor.bind(address, problem);
-    if (!problem)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, problem);
-    if (problem)
-        throw error(result_code::port_unavailable,
-                    "cannot listen on " + address.address().to_string() + ":"
-                        + std::to_string(address.port()) + ": " + problem.message());
     asio::co_spawn(m_context, acceptAll(), asio::detached);
 }
 
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -12,12 +12,6 @@
 
 namespace {
 
-// How fast an estimate follows observations: the weight of the newest one.
-constexpr double durationWeight = 0.05;
-constexpr double slownessWeight = 0.15;
-constexpr double failureWeight = 0.1;
-constexpr double lowestSlowness = 0.7;
-constexpr double highestSlowness = 12;
 // A report of other entries' requests loses its meaning with the time that such a request takes.
 constexpr double reportMemoryMs = 1'000;
 // An upstream with so many requests waiting for each slot is full. Upstreams refuse truthfully when
@@ -26,10 +20,6 @@
 constexpr double waitingForEachSlot = 3.5;
 // A share of the time left that the expected answer may take.
 constexpr double usableTimeShare = 0.9;
-constexpr milliseconds firstAvoidance{500};
-constexpr milliseconds longestAvoidance{8'000};
-constexpr milliseconds shedAvoidance{100};
-constexpr std::uint32_t failuresToAvoid = 3;
 // A failing upstream costs a repeat, which takes about as long as another try.
 constexpr double failurePenaltyMs = 1'500;
 constexpr double coldFactor = 2;
@@ -316,107 +306,4 @@
     return knowledge;
 }
 
-void upstream_choice::remember(upstream_record &upstream, const std::string &object) const
-{
-    if (object.empty())
-        return;
-    auto &[order, places] = upstream.objects;
-    const auto known = places.find(object);
-    if (known != places.end()) {
-        order.splice(order.begin(), order, known->second);
-        return;
-    }
-    order.push_front(object);
-    places[object] = order.begin();
-    if (order.size() > m_settings.rememberedObjects) {
-        places.erase(order.back());
-        order.pop_back();
-    }
-}
-
-void upstream_choice::noteFailure(upstream_record &upstream, sending_outcome outcome, instant now)
-{
-    if (outcome == sending_outcome::shed) {
-        upstream.avoidUntil = std::max(upstream.avoidUntil, now + shedAvoidance);
-        return;
-    }
-    if (outcome == sending_outcome::replaced) {
-        // Only a new announcement tells which lifetime is there now.
-        upstream.avoidUntil = now + longestAvoidance;
-        return;
-    }
-    upstream.failureShare += (1 - upstream.failureShare) * failureWeight;
-    ++upstream.failuresInRow;
-    if (outcome != sending_outcome::unreachable && upstream.failuresInRow < failuresToAvoid)
-        return;
-    upstream.lastAvoidance =
-        std::clamp(upstream.lastAvoidance * 2, firstAvoidance, longestAvoidance);
-    upstream.avoidUntil = now + upstream.lastAvoidance;
-}
-
-void upstream_choice::noteDuration(upstream_record &upstream, object_knowledge knowledge,
-                                   microseconds elapsed, instant now)
-{
-    service_record &service = m_services[upstream.life.service];
-    // Time in the upstream's queue says nothing about its work.
-    if (loadOf(upstream, now) + 1 > upstream.life.slots || now < upstream.coldUntil)
-        return;
-    const double work = std::max(toMs(elapsed) - networkMs(upstream), 1.0);
-    double &usual = service.usualMs(knowledge);
-    upstream.slowness +=
-        (std::clamp(work / usual, lowestSlowness, highestSlowness) - upstream.slowness)
-        * slownessWeight;
-    upstream.slowness = std::clamp(upstream.slowness, lowestSlowness, highestSlowness);
-    usual += (work - usual) * durationWeight / std::max(upstream.slowness, 1.0);
-}
-
-void upstream_choice::finished(const upstream_id &id, object_knowledge knowledge,
-                               sending_outcome outcome, microseconds elapsed,
-                               const std::optional<upstream_load> &load, instant now)
-{
-    const auto found = m_upstreams.find(id);
-    if (found == m_upstreams.end())
-        return;
-    upstream_record &upstream = found->second;
-    if (upstream.inFlight > 0)
-        --upstream.inFlight;
-    if (load) {
-        upstream.others =
-            std::max(0.0, static_cast<double>(load->running) + load->waiting - upstream.inFlight);
-        upstream.reported = now;
-    }
-    if (outcome == sending_outcome::abandoned)
-        return;
-    // A request that ran out of time took at least so long.
-    if (false)
-        noteDuration(upstream, knowledge, elapsed, now);
-    if (outcome != sending_outcome::answered) {
-        noteFailure(upstream, outcome, now);
-        return;
-    }
-    upstream.failuresInRow = 0;
-    upstream.lastAvoidance = milliseconds(0);
-    upstream.failureShare *= 1 - failureWeight;
-    noteDuration(upstream, knowledge, elapsed, now);
-}
-
-void upstream_choice::noteRoundTrip(const zone_name &zone, microseconds elapsed)
-{
-    const auto region = m_settings.regions.find(zone);
-    if (region == m_settings.regions.end())
-        return;
-    const auto known = m_roundTripMs.find(region->second);
-    if (known == m_roundTripMs.end())
-        m_roundTripMs[region->second] = toMs(elapsed);
-    else
-        known->second = std::min(known->second * 1.05, std::max(toMs(elapsed), 0.1));
-}
-
-void upstream_choice::noteCold(const upstream_id &id, milliseconds remaining, instant now)
-{
-    const auto found = m_upstreams.find(id);
-    if (found != m_upstreams.end())
-        noteColdStart(found->second, remaining, now);
-}
-
 } // namespace kingcuptiller
