--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -58,17 +58,17 @@
 class entry_node::feed_thread
 {
 public:
-    feed_thread(const node_settings &settings,
+    feed_thread(const node_settings &settings, const endpoint_address &traffic,
                 std::function<traffic_configuration(const std::string &)> decode,
                 std::function<void(fleet_view, std::optional<traffic_configuration>)> onView)
         : m_decode(std::move(decode))
         , m_onView(std::move(onView))
         , m_work(asio::make_work_guard(m_context))
         , m_feed(m_context,
-                 fleet_feed_options{
-                     settings.seeds, settings.internalPort,
-                     serving_entry{*settings.traffic, settings.region, settings.zone},
-                     milliseconds(500), milliseconds(1'500), milliseconds(5'000), readInstant},
+                 fleet_feed_options{settings.seeds, settings.internalPort,
+                                    serving_entry{traffic, settings.region, settings.zone},
+                                    milliseconds(500), milliseconds(1'500), milliseconds(5'000),
+                                    readInstant},
                  [this](const fleet_view &view) { receive(view); })
         , m_thread([this] { m_context.run(); })
     {
@@ -130,7 +130,7 @@
         },
         [this] { return m_relay.limits(); });
     m_feed = std::make_unique<feed_thread>(
-        m_settings, m_platform.decodeConfiguration,
+        m_settings, *m_settings.traffic, m_platform.decodeConfiguration,
         [this](fleet_view view, std::optional<traffic_configuration> configuration) {
             asio::post(m_context,
                        [this, view = std::move(view), configuration = std::move(configuration)] {
@@ -154,7 +154,7 @@
             .field("version", configuration->version.number())
             .field("routes", static_cast<std::uint64_t>(configuration->routes.size()));
     if (!wasReady && ready()) {
-        log_line(log_level::info, "entry", "serves_requests");
+        log_line(log_level::info, "entry", "serves_requests").field("name", m_settings.name);
         m_feed->setServing(true);
     }
 }
@@ -174,7 +174,7 @@
 {
     if (std::exchange(m_leaving, true))
         return;
-    log_line(log_level::info, "entry", "leaves");
+    log_line(log_level::info, "entry", "leaves").field("name", m_settings.name);
     m_feed->setServing(false);
     const instant until = readInstant() + m_settings.shutdownLimit - shutdownReserve;
     const auto accepting = milliseconds(static_cast<std::int64_t>(
--- a/src/relay/upstream_connections.cpp
+++ b/src/relay/upstream_connections.cpp
@@ -53,8 +53,8 @@
 class socket_time_limit
 {
 public:
-    socket_time_limit(asio::io_context &context, std::shared_ptr<upstream_connection> connection,
-                      milliseconds limit)
+    socket_time_limit(asio::io_context &context,
+                      const std::shared_ptr<upstream_connection> &connection, milliseconds limit)
         : m_timer(context, limit)
         , m_state(std::make_shared<limit_state>())
     {
