--- a/tests/relay/upstream_choice_test.cpp
+++ b/tests/relay/upstream_choice_test.cpp
@@ -62,7 +62,7 @@
     std::string serve(const std::string &object, milliseconds elapsed = milliseconds(300),
                       sending_outcome outcome = sending_outcome::answered)
     {
-        const std::string id = choose(object);
+        std::string id = choose(object);
         if (id.empty())
             return id;
         const object_knowledge knowledge = choices.started(upstream_id(id), object, now);
