Do not copy the routes at each view; pass calls on in one place

A conditional copied the whole route table for each view of the fleet, call() repeated the leader's check that passOn() makes, and a comment in choose() spoke of a check that is gone. Behaviour is the same.

--- a/src/node/control_calls.cpp
+++ b/src/node/control_calls.cpp
@@ -29,10 +29,7 @@
         state->answer = answer;
         state->timer.cancel();
     };
-    if (m_control->isLeading())
-        answerHere(text, done);
-    else
-        passOn(text, done);
+    passOn(text, done);
     error_code ignored;
     if (!state->answer)
         co_await state->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -65,7 +65,8 @@
         m_version = configuration->version;
     }
     m_budget.setEntries(view.entries.size());
-    m_choice.update(view, m_routes ? *m_routes : route_table(), m_options.now());
+    static const route_table noRoutes;
+    m_choice.update(view, m_routes ? *m_routes : noRoutes, m_options.now());
 }
 
 client_limits request_relay::limits() const
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -261,9 +261,8 @@
         upstream_record &upstream = m_upstreams.at(id);
         if (!mayUse(upstream, service, request, now))
             continue;
-        const double waiting = waitingMs(upstream, service, now);
-        // What takes too long only because the object is new must be tried somewhere.
-        const double expected = waiting + workMs(upstream, service, request.object, now);
+        const double expected =
+            waitingMs(upstream, service, now) + workMs(upstream, service, request.object, now);
         auto [shift, unknown] = shiftPenalties.try_emplace(upstream.region, 0);
         if (unknown)
             shift->second = shiftPenaltyMs(service, upstream.region, counted, now);
