Serve the demo's interface with the traffic server; break the cycle in the combined test

Closing the request's stream had been ruled out earlier; its interface offers no limit. http_server now runs a traffic_server in a thread of its own, so the tree has one HTTP server; TLS moved into client_stream. The status lines that http_server_test compares carry the reason phrases of RFC 7231 ("Payload Too Large", "Internal Server Error") in place of cpprest's own; the codes are the same.

Cause of the second one: a coordinator keeps the reply of each open request, the reply of the test's client holds the entry's process, and that holds the coordinator. The cycle is in the fakes; the product's replies hold no coordinator.

The count of requests in progress is shared with the coroutines: those that are destroyed with their context, after the server, wrote to freed memory.

--- /dev/null
+++ b/include/kingcuptiller/relay/client_stream.h
@@ -0,0 +1,72 @@
+#pragma once
+
+// Boost 1.74's awaitable.hpp uses std::exchange without including its header.
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ssl/context.hpp>
+#include <boost/asio/ssl/stream.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <memory>
+
+namespace kingcuptiller {
+
+// A client's connection, plain or with TLS, so that one server serves both. It has what
+// boost::beast::http needs of a stream; time limits are those of beast::tcp_stream.
+class client_stream
+{
+public:
+    using executor_type = boost::beast::tcp_stream::executor_type;
+
+    // `tls` is nullptr for a plain connection.
+    client_stream(boost::asio::ip::tcp::socket socket,
+                  const std::shared_ptr<boost::asio::ssl::context> &tls)
+        : m_plain(std::move(socket))
+    {
+        if (tls)
+            m_secure = std::make_unique<secure_stream>(m_plain, *tls);
+    }
+
+    [[nodiscard]] executor_type get_executor() noexcept { return m_plain.get_executor(); }
+    [[nodiscard]] boost::asio::ip::tcp::socket &socket() { return m_plain.socket(); }
+    [[nodiscard]] bool isSecure() const { return m_secure != nullptr; }
+
+    void expiresAfter(boost::asio::steady_timer::duration limit) { m_plain.expires_after(limit); }
+    void expiresNever() { m_plain.expires_never(); }
+    void cancel() { m_plain.cancel(); }
+
+    // Only for a secure stream.
+    template <typename Token>
+    auto asyncHandshake(Token &&token)
+    {
+        return m_secure->async_handshake(boost::asio::ssl::stream_base::server,
+                                         std::forward<Token>(token));
+    }
+
+    // The two names are those that boost::beast looks for.
+    // NOLINTBEGIN(readability-identifier-naming)
+    template <typename Buffers, typename Token>
+    auto async_read_some(const Buffers &buffers, Token &&token)
+    {
+        return m_secure ? m_secure->async_read_some(buffers, std::forward<Token>(token))
+                        : m_plain.async_read_some(buffers, std::forward<Token>(token));
+    }
+
+    template <typename Buffers, typename Token>
+    auto async_write_some(const Buffers &buffers, Token &&token)
+    {
+        return m_secure ? m_secure->async_write_some(buffers, std::forward<Token>(token))
+                        : m_plain.async_write_some(buffers, std::forward<Token>(token));
+    }
+
+    // NOLINTEND(readability-identifier-naming)
+
+private:
+    using secure_stream = boost::asio::ssl::stream<boost::beast::tcp_stream &>;
+
+    boost::beast::tcp_stream m_plain;
+    std::unique_ptr<secure_stream> m_secure;
+};
+
+} // namespace kingcuptiller
--- a/include/kingcuptiller/relay/traffic_server.h
+++ b/include/kingcuptiller/relay/traffic_server.h
@@ -4,6 +4,7 @@
 #include "kingcuptiller/relay/http_types.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ssl/context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <cstddef>
@@ -37,9 +38,10 @@
 class traffic_server
 {
 public:
-    // Throws `error` with `port_unavailable`.
+    // Connections use TLS when `tls` is given. Throws `error` with `port_unavailable`.
     traffic_server(boost::asio::io_context &context, const tcp_endpoint &address,
-                   request_handler handler, std::function<client_limits()> limits);
+                   request_handler handler, std::function<client_limits()> limits,
+                   std::shared_ptr<boost::asio::ssl::context> tls = nullptr);
     ~traffic_server();
     traffic_server(const traffic_server &) = delete;
     traffic_server &operator=(const traffic_server &) = delete;
@@ -49,7 +51,7 @@
     // New connections are no longer taken.
     void stopAccepting();
     // Requests that are being read, worked on or answered.
-    [[nodiscard]] std::size_t requestsInProgress() const { return m_inProgress; }
+    [[nodiscard]] std::size_t requestsInProgress() const { return *m_inProgress; }
     [[nodiscard]] tcp_endpoint address() const;
 
 private:
@@ -66,7 +68,9 @@
     request_handler m_handler;
     std::function<client_limits()> m_limits;
     std::set<std::shared_ptr<session>> m_sessions;
-    std::size_t m_inProgress = 0;
+    // Shared with the requests: a coroutine may be destroyed with the context, after this server.
+    std::shared_ptr<std::size_t> m_inProgress = std::make_shared<std::size_t>(0);
+    std::shared_ptr<boost::asio::ssl::context> m_tls;
     bool m_leaving = false;
 };
 
--- a/include/kingcuptiller/transport/http_server.h
+++ b/include/kingcuptiller/transport/http_server.h
@@ -10,19 +10,19 @@
 
 namespace kingcuptiller {
 
-// Sizes the thread pool that cpprest shares between all servers and clients of the process. Call it
-// once, first thing in a daemon; without it the pool has 40 threads. No handler may block one of
-// these threads.
+// Sizes the thread pool that cpprest shares between all clients of the process. Call it once, first
+// thing in a daemon; without it the pool has 40 threads.
 void setTrafficThreads(std::size_t count);
 
 // Sends the answer to one request. Called exactly once, from any thread. If the last copy is
 // destroyed without a call, the client receives status 500.
 using http_reply = std::function<void(http_answer)>;
 
-// Receives each request with its whole body, in a thread of the traffic pool.
+// Receives each request with its whole body, in the server's thread, which it must not block.
 using http_handler = std::function<void(http_request, http_reply)>;
 
-// An HTTP/1.1 server on one address. It refuses requests that it need not hand on: a body above
+// An HTTP/1.1 server on one address with a thread of its own: a `traffic_server` whose handlers may
+// answer from any thread. It refuses requests that it need not hand on: a body above
 // the limit (413), a body without Content-Length (411), other methods than GET, HEAD and POST
 // (405).
 //
@@ -43,7 +43,7 @@
     // Listens at once. Throws `error` with port_unavailable, or with settings_invalid when the TLS
     // files cannot be used.
     http_server(const options &chosen, http_handler handler);
-    // Stops listening and waits for the answers that are being sent.
+    // Stops listening and waits, for a second at most, for the answers to requests that were read.
     ~http_server();
     http_server(const http_server &) = delete;
     http_server &operator=(const http_server &) = delete;
--- a/src/relay/traffic_server.cpp
+++ b/src/relay/traffic_server.cpp
@@ -1,5 +1,6 @@
 #include "kingcuptiller/relay/traffic_server.h"
 
+#include "kingcuptiller/relay/client_stream.h"
 #include "kingcuptiller/telemetry/log.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -8,7 +9,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -72,23 +72,25 @@
 
 struct traffic_server::session : std::enable_shared_from_this<session>
 {
-    explicit session(asio::ip::tcp::socket socket)
-        : stream(std::move(socket))
+    session(asio::ip::tcp::socket socket, const std::shared_ptr<asio::ssl::context> &tls)
+        : stream(std::move(socket), tls)
     {
     }
 
-    beast::tcp_stream stream;
+    client_stream stream;
     beast::flat_buffer buffer;
     relay_request request;
     bool busy = false;
 };
 
 traffic_server::traffic_server(asio::io_context &context, const tcp_endpoint &address,
-                               request_handler handler, std::function<client_limits()> limits)
+                               request_handler handler, std::function<client_limits()> limits,
+                               std::shared_ptr<asio::ssl::context> tls)
     : m_context(context)
     , m_acceptor(openListener(context, address))
     , m_handler(std::move(handler))
     , m_limits(std::move(limits))
+    , m_tls(std::move(tls))
 {
     asio::co_spawn(m_context, acceptAll(), asio::detached);
 }
@@ -131,7 +133,7 @@
             continue;
         }
         socket.set_option(asio::ip::tcp::no_delay(true), problem);
-        auto client = std::make_shared<session>(std::move(socket));
+        auto client = std::make_shared<session>(std::move(socket), m_tls);
         m_sessions.insert(client);
         asio::co_spawn(m_context, serve(client), asio::detached);
     }
@@ -140,6 +142,12 @@
 asio::awaitable<void> traffic_server::serve(std::shared_ptr<session> client)
 {
     bool goesOn = true;
+    if (client->stream.isSecure()) {
+        error_code problem;
+        client->stream.expiresAfter(m_limits().headerTimeout);
+        co_await client->stream.asyncHandshake(into(problem));
+        goesOn = !problem;
+    }
     while (goesOn) {
         client->busy = false;
         try {
@@ -159,7 +167,7 @@
     relay_response answer = ownAnswer(status, "the request breaks a limit or is malformed\n");
     answer.keep_alive(false);
     error_code problem;
-    client.stream.expires_after(writeTimeout);
+    client.stream.expiresAfter(writeTimeout);
     co_await http::async_write(client.stream, answer, into(problem));
     co_return false;
 }
@@ -173,7 +181,7 @@
     parser.body_limit(limits.bodyBytes);
     if (client.buffer.size() == 0) {
         // Between two requests the idle limit holds; from the first byte on the header limit.
-        client.stream.expires_after(limits.idleTimeout);
+        client.stream.expiresAfter(limits.idleTimeout);
         const auto got =
             co_await client.stream.async_read_some(client.buffer.prepare(4096), into(problem));
         client.buffer.commit(got);
@@ -181,14 +189,14 @@
             co_return false;
     }
     client.busy = true;
-    client.stream.expires_after(limits.headerTimeout);
+    client.stream.expiresAfter(limits.headerTimeout);
     co_await http::async_read_header(client.stream, client.buffer, parser, into(problem));
     if (!problem && parser.chunked() && parser.get().has_content_length())
         problem = http::error::bad_transfer_encoding;
     if (!problem && beast::iequals(parser.get()[http::field::expect], "100-continue"))
         co_await asio::async_write(client.stream, asio::buffer(continueLine), into(problem));
     if (!problem) {
-        client.stream.expires_after(limits.idleTimeout);
+        client.stream.expiresAfter(limits.idleTimeout);
         co_await http::async_read(client.stream, client.buffer, parser, into(problem));
     }
     if (problem) {
@@ -210,13 +218,13 @@
         co_return false;
     struct progress
     {
-        std::size_t &count;
-        explicit progress(std::size_t &value)
-            : count(value)
+        std::shared_ptr<std::size_t> count;
+        explicit progress(std::shared_ptr<std::size_t> value)
+            : count(std::move(value))
         {
-            ++count;
+            ++*count;
         }
-        ~progress() { --count; }
+        ~progress() { --*count; }
         progress(const progress &) = delete;
         progress &operator=(const progress &) = delete;
     } const inProgress(m_inProgress);
@@ -224,7 +232,7 @@
     const bool keepAlive = client.request.keep_alive();
     const auto presence = std::make_shared<client_presence>();
     asio::ip::tcp::socket &socket = client.stream.socket();
-    client.stream.expires_never();
+    client.stream.expiresNever();
     socket.async_wait(asio::socket_base::wait_read,
                       [presence, owner = client.shared_from_this()](error_code problem) {
                           if (!problem && isClosedByPeer(owner->stream.socket()))
@@ -238,7 +246,7 @@
         co_return false;
     const bool head = client.request.method() == http::verb::head;
     answer.keep_alive(keepAlive && !m_leaving);
-    client.stream.expires_after(writeTimeout);
+    client.stream.expiresAfter(writeTimeout);
     if (head) {
         http::response_serializer<http::string_body> serializer(answer);
         serializer.split(true);
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,109 +1,123 @@
 #include "kingcuptiller/transport/http_server.h"
 
+#include "kingcuptiller/relay/traffic_server.h"
 #include "kingcuptiller/telemetry/log.h"
 #include "kingcuptiller/values/error.h"
 
-#include <cpprest/http_listener.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/ssl/context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <pplx/threadpool.h>
 
+#include <optional>
+#include <thread>
 #include <utility>
 
 namespace kingcuptiller {
 
 namespace {
 
-namespace listener = web::http::experimental::listener;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
 
-http_request toRequest(const web::http::http_request &message)
+// Longer than clients of this system keep an idle connection.
+constexpr milliseconds idleTimeout{120'000};
+// How long a server that ends waits for the answers of its handlers.
+constexpr milliseconds endingLimit{1'000};
+constexpr milliseconds endingCheck{5};
+
+http_request toRequest(const relay_request &message)
 {
     http_request request;
-    request.method = message.method();
-    const web::uri &uri = message.request_uri();
-    request.path = uri.path();
-    request.query = uri.query();
-    for (const auto &[name, value] : message.headers())
-        request.headers.emplace(name, value);
+    request.method = std::string(message.method_string());
+    const std::string target(message.target());
+    const std::size_t mark = target.find('?');
+    request.path = target.substr(0, mark);
+    if (mark != std::string::npos)
+        request.query = target.substr(mark + 1);
+    for (const auto &field : message)
+        request.headers.emplace(std::string(field.name_string()), std::string(field.value()));
+    request.body = message.body();
     return request;
 }
 
-// Errors of sending are the client's: it went away.
-void send(const web::http::http_request &message, const web::http::http_response &response)
+relay_response toResponse(const http_answer &answer)
 {
-    message.reply(response).then([](const pplx::task<void> &sent) {
-        try {
-            sent.get();
-        } catch (const std::exception &failure) {
-            log_line(log_level::debug, "http_server", "reply_failed")
-                .field("reason", failure.what());
-        }
-    });
+    relay_response response(static_cast<http::status>(answer.status), 11);
+    for (const auto &[name, value] : answer.headers)
+        response.set(name, value);
+    response.body() = answer.body;
+    response.prepare_payload();
+    return response;
 }
 
-void sendStatus(const web::http::http_request &message, web::http::status_code status)
+// The place where a connection waits for the answer to its request. It belongs to the server's
+// thread.
+struct awaited_answer
 {
-    send(message, web::http::http_response(status));
-}
+    explicit awaited_answer(asio::io_context &context)
+        : timer(context, asio::steady_timer::time_point::max())
+    {
+    }
 
-// Answers its request once; a request that nobody answers gets status 500.
-class pending_reply
-{
-public:
-    explicit pending_reply(const web::http::http_request &message)
-        : m_message(message)
+    void set(const http_answer &answer)
     {
+        if (std::exchange(answered, true))
+            return;
+        response = toResponse(answer);
+        timer.cancel();
     }
 
-    ~pending_reply()
+    asio::steady_timer timer;
+    bool answered = false;
+    relay_response response;
+};
+
+// The handler's side of one request, used from any thread; a request that nobody answers gets
+// status 500.
+class pending_reply
+{
+public:
+    pending_reply(std::shared_ptr<asio::io_context> context, std::shared_ptr<awaited_answer> place)
+        : m_context(std::move(context))
+        , m_place(std::move(place))
     {
-        if (!m_sent)
-            sendStatus(m_message, web::http::status_codes::InternalError);
     }
+    ~pending_reply() { send({.status = 500, .headers = {}, .body = {}}); }
     pending_reply(const pending_reply &) = delete;
     pending_reply &operator=(const pending_reply &) = delete;
 
-    void operator()(const http_answer &answer)
+    void send(const http_answer &answer)
     {
-        if (std::exchange(m_sent, true))
-            return;
-        web::http::http_response response(answer.status);
-        for (const auto &[name, value] : answer.headers)
-            response.headers().add(name, value);
-        const std::string type = headerValue(answer.headers, "Content-Type");
-        response.set_body(toBytes(answer.body));
-        if (!type.empty())
-            response.headers().set_content_type(type);
-        send(m_message, response);
+        if (const auto place = std::exchange(m_place, nullptr))
+            asio::post(*m_context, [place, answer] { place->set(answer); });
     }
 
 private:
-    web::http::http_request m_message;
-    bool m_sent = false;
+    std::shared_ptr<asio::io_context> m_context;
+    std::shared_ptr<awaited_answer> m_place;
 };
 
-bool hasBody(const web::http::http_request &message)
-{
-    return message.headers().has("Content-Length") || message.headers().has("Transfer-Encoding");
-}
-
-void useTls(listener::http_listener_config &config, const http_server::options &chosen)
+std::shared_ptr<asio::ssl::context> tlsOf(const http_server::options &chosen)
 {
-    // Checked here, since cpprest reports errors of its callback only for each connection.
+    if (chosen.certificateFile.empty() || chosen.keyFile.empty())
+        return nullptr;
     try {
-        boost::asio::ssl::context trial(boost::asio::ssl::context::tls_server);
-        trial.use_certificate_chain_file(chosen.certificateFile);
-        trial.use_private_key_file(chosen.keyFile, boost::asio::ssl::context::pem);
+        auto context = std::make_shared<asio::ssl::context>(asio::ssl::context::tls_server);
+        context->set_options(asio::ssl::context::default_workarounds | asio::ssl::context::no_sslv2
+                             | asio::ssl::context::no_sslv3 | asio::ssl::context::no_tlsv1
+                             | asio::ssl::context::no_tlsv1_1);
+        context->use_certificate_chain_file(chosen.certificateFile);
+        context->use_private_key_file(chosen.keyFile, asio::ssl::context::pem);
+        return context;
     } catch (const std::exception &failure) {
         throw error(result_code::settings_invalid,
                     std::string("TLS certificate or key cannot be used: ") + failure.what());
     }
-    config.set_ssl_context_callback([chosen](boost::asio::ssl::context &context) {
-        context.set_options(
-            boost::asio::ssl::context::default_workarounds | boost::asio::ssl::context::no_sslv2
-            | boost::asio::ssl::context::no_sslv3 | boost::asio::ssl::context::no_tlsv1
-            | boost::asio::ssl::context::no_tlsv1_1);
-        context.use_certificate_chain_file(chosen.certificateFile);
-        context.use_private_key_file(chosen.keyFile, boost::asio::ssl::context::pem);
-    });
 }
 
 } // namespace
@@ -117,77 +131,79 @@
 {
 public:
     implementation(const options &chosen, http_handler handler)
-        : m_maximumBody(chosen.maximumBody)
-        , m_handler(std::move(handler))
+        : m_handler(std::move(handler))
+        , m_server(
+              *m_context, toEndpoint(chosen.address + ":" + std::to_string(chosen.port)),
+              [this](const relay_request &request, client_presence &) { return handle(request); },
+              [limits = limitsOf(chosen)] { return limits; }, tlsOf(chosen))
+        , m_thread([this] { m_context->run(); })
     {
-        listener::http_listener_config config;
-        const bool secure = !chosen.certificateFile.empty() && !chosen.keyFile.empty();
-        if (secure)
-            useTls(config, chosen);
-        const std::string address = std::string(secure ? "https" : "http") + "://" + chosen.address
-            + ":" + std::to_string(chosen.port) + "/";
-        m_listener = listener::http_listener(web::uri(address), config);
-        m_listener.support([this](const web::http::http_request &message) { receive(message); });
-        try {
-            m_listener.open().wait();
-        } catch (const std::exception &failure) {
-            throw error(result_code::port_unavailable,
-                        "cannot listen on " + address + ": " + failure.what());
-        }
     }
 
     ~implementation()
     {
-        try {
-            m_listener.close().wait();
-        } catch (const std::exception &failure) {
-            log_line(log_level::warning, "http_server", "close_failed")
-                .field("reason", failure.what());
-        }
+        asio::post(*m_context, [this] {
+            m_server.stopAccepting();
+            m_server.startLeaving();
+            asio::co_spawn(*m_context, stopWhenAnswered(), asio::detached);
+        });
+        m_thread.join();
     }
     implementation(const implementation &) = delete;
     implementation &operator=(const implementation &) = delete;
 
 private:
-    void receive(const web::http::http_request &message)
+    static client_limits limitsOf(const options &chosen)
+    {
+        client_limits limits;
+        limits.bodyBytes = chosen.maximumBody;
+        limits.idleTimeout = idleTimeout;
+        return limits;
+    }
+
+    asio::awaitable<void> stopWhenAnswered()
+    {
+        asio::steady_timer pause(*m_context);
+        const auto until = asio::steady_timer::clock_type::now() + endingLimit;
+        while (m_server.requestsInProgress() > 0 && asio::steady_timer::clock_type::now() < until) {
+            pause.expires_after(endingCheck);
+            co_await pause.async_wait(asio::use_awaitable);
+        }
+        m_context->stop();
+    }
+
+    asio::awaitable<relay_response> handle(const relay_request &message)
     {
-        const std::string &method = message.method();
-        if (method != "GET" && method != "POST" && method != "HEAD")
-            return sendStatus(message, web::http::status_codes::MethodNotAllowed);
-        if (!hasBody(message))
-            return handle(message, {});
-        if (!message.headers().has("Content-Length"))
-            return sendStatus(message, web::http::status_codes::LengthRequired);
-        if (message.headers().content_length() > m_maximumBody)
-            return sendStatus(message, web::http::status_codes::RequestEntityTooLarge);
-        message.extract_vector().then(
-            [this, message](const pplx::task<std::vector<unsigned char>> &body) {
-                try {
-                    handle(message, body.get());
-                } catch (const std::exception &failure) {
-                    log_line(log_level::debug, "http_server", "request_failed")
-                        .field("reason", failure.what());
-                    sendStatus(message, web::http::status_codes::BadRequest);
-                }
-            });
+        if (message.method() != http::verb::get && message.method() != http::verb::post
+            && message.method() != http::verb::head)
+            co_return ownAnswer(http::status::method_not_allowed, "use GET, HEAD or POST\n");
+        if (message.chunked())
+            co_return ownAnswer(http::status::length_required, "name the body's length\n");
+        const auto place = std::make_shared<awaited_answer>(*m_context);
+        callHandler(toRequest(message), place);
+        boost::system::error_code ignored;
+        if (!place->answered)
+            co_await place->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_return std::move(place->response);
     }
 
-    void handle(const web::http::http_request &message, const std::vector<unsigned char> &body)
+    void callHandler(http_request request, const std::shared_ptr<awaited_answer> &place)
     {
-        http_request request = toRequest(message);
-        request.body.assign(body.begin(), body.end());
-        const auto reply = std::make_shared<pending_reply>(message);
+        const auto reply = std::make_shared<pending_reply>(m_context, place);
         try {
-            m_handler(std::move(request), [reply](const http_answer &answer) { (*reply)(answer); });
+            m_handler(std::move(request),
+                      [reply](const http_answer &answer) { reply->send(answer); });
         } catch (const std::exception &fault) {
             log_line(log_level::error, "http_server", "handler_failed")
                 .field("reason", fault.what());
         }
     }
 
-    std::size_t m_maximumBody;
+    // Replies that come after the end of the server still need the context.
+    std::shared_ptr<asio::io_context> m_context = std::make_shared<asio::io_context>(1);
     http_handler m_handler;
-    listener::http_listener m_listener;
+    traffic_server m_server;
+    std::thread m_thread;
 };
 
 http_server::http_server(const options &chosen, http_handler handler)
--- a/tests/combined/fleet.cpp
+++ b/tests/combined/fleet.cpp
@@ -31,9 +31,12 @@
 
 fleet::~fleet()
 {
-    // Completions that wait in the network hold the coordinators, which hold completions.
-    for (const auto &each : m_exchanges)
-        each->done = nullptr;
+    // A coordinator keeps the replies to its open requests; each of them holds the entry's process,
+    // which holds the coordinator.
+    for (const auto &each : m_entries)
+        each->coordinator.reset();
+    for (const auto &each : m_formerEntries)
+        each->coordinator.reset();
 }
 
 std::string fleet::entryName(std::size_t number)
