Do not call a follower current that lacks what its leader committed

Cause: a follower whose answers are lost counts as unreachable for its leader and gets heartbeats without entries. It heard from a leader, and everything that it knew to be committed was applied, so it called itself current and showed entries an old view for as long as the cut lasted. Now it also compares with the commit index that the leader tells.

Ruled out: the time that an entry needs to leave a silent control host, which is below the bound.

The test fails before the change.

--- a/include/kingcuptiller/consensus/replica.h
+++ b/include/kingcuptiller/consensus/replica.h
@@ -263,6 +263,8 @@
     std::set<replica_identity> m_votes;
 
     log_index m_committed;
+    // The most that a leader said to be committed; this replica may not have all of it.
+    log_index m_knownCommitted;
     log_index m_handedOut;
     log_index m_synced;
     std::size_t m_uncommittedBytes = 0;
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -139,8 +139,8 @@
         return hasLease(now);
     return m_leader && m_leaderHeard
         && std::max(now, m_now) - *m_leaderHeard < m_settings.minimumElectionTimeout
-        && m_handedOut == m_committed && m_committed >= m_store.baseIndex()
-        && m_store.termAt(m_committed) == term();
+        && m_handedOut == m_committed && m_committed >= m_knownCommitted
+        && m_committed >= m_store.baseIndex() && m_store.termAt(m_committed) == term();
 }
 
 instant replica::leaseEnd() const
--- a/src/consensus/replica_replication.cpp
+++ b/src/consensus/replica_replication.cpp
@@ -156,6 +156,7 @@
     if (ownTerm || !comesFromExpectedFounder(message))
         return;
     heardFromLeader(message);
+    m_knownCommitted = std::max(m_knownCommitted, request.committed);
     if (!acceptEntries(request)) {
         send(message.from, append_answer{false, retryIndex(request), request.sentAt});
         return;
--- a/tests/consensus/fake_fleet.cpp
+++ b/tests/consensus/fake_fleet.cpp
@@ -303,6 +303,12 @@
     return m_hosts[host].node && m_hosts[host].node->hasLease(clock(m_hosts[host]));
 }
 
+bool fake_fleet::isCurrent(std::size_t host) const
+{
+    const fake_host &each = m_hosts[host];
+    return each.node != nullptr && each.node->isCurrent(clock(each));
+}
+
 replica_status fake_fleet::status(std::size_t host) const
 {
     return m_hosts[host].node->status();
--- a/tests/consensus/fake_fleet.h
+++ b/tests/consensus/fake_fleet.h
@@ -53,6 +53,7 @@
     [[nodiscard]] std::optional<std::size_t> leader() const;
     [[nodiscard]] bool isRunning(std::size_t host) const { return m_hosts[host].node != nullptr; }
     [[nodiscard]] bool hasLease(std::size_t host) const;
+    [[nodiscard]] bool isCurrent(std::size_t host) const;
     [[nodiscard]] replica_status status(std::size_t host) const;
     [[nodiscard]] replica_store &store(std::size_t host) { return *m_hosts[host].store; }
     [[nodiscard]] fake_disk &files(std::size_t host) { return m_hosts[host].files; }
--- a/tests/consensus/replica_test.cpp
+++ b/tests/consensus/replica_test.cpp
@@ -83,6 +83,7 @@
 class replica_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(replica_test);
+    CPPUNIT_TEST(followerThatIsOnlyHeardFromIsNotCurrent);
     CPPUNIT_TEST(noVoteRightAfterTheStart);
     CPPUNIT_TEST(noVoteRightAfterALeaderWasHeard);
     CPPUNIT_TEST(votesAndAnswersOfAnotherIncarnationDoNotCount);
@@ -99,6 +100,28 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against old views: a follower whose answers are lost hears heartbeats on and on, and
+    // gets no entries, because its leader takes it for unreachable.
+    void followerThatIsOnlyHeardFromIsNotCurrent()
+    {
+        fake_fleet fleet(3, 11);
+        fleet.setNoise(false);
+        fleet.run(std::chrono::seconds(3));
+        const std::size_t leader = fleet.leader().value();
+        const std::size_t follower = (leader + 1) % 3;
+        CPPUNIT_ASSERT_MESSAGE("current before the cut", fleet.isCurrent(follower));
+        fleet.cut(follower, leader);
+        fleet.run(std::chrono::seconds(2));
+        fleet.propose(1);
+        fleet.run(milliseconds(500));
+        CPPUNIT_ASSERT_MESSAGE("the others commit without it",
+                               fleet.status(follower).committed < fleet.status(leader).committed);
+        CPPUNIT_ASSERT_MESSAGE("it lacks a committed entry", !fleet.isCurrent(follower));
+        fleet.heal();
+        fleet.run(std::chrono::seconds(1));
+        CPPUNIT_ASSERT_MESSAGE("current after the cut", fleet.isCurrent(follower));
+    }
+
     // Guards against a replica that acknowledged a heartbeat, restarts and helps another leader up
     // while the lease of the first one still runs.
     void noVoteRightAfterTheStart()
