Order the upstreams for each object, so that they remember what they are asked for

Cause of the low worth under load: upstreams remember a limited number of objects, and each of seven entries warmed up its own choice of them.

Change: rendezvous hashing gives each object an order of the upstreams of equal nearness; each further one costs 120 ms up to 600 ms. The log of a request tells what was expected of its last upstream.

--- a/include/kingcuptiller/relay/request_relay.h
+++ b/include/kingcuptiller/relay/request_relay.h
@@ -62,6 +62,7 @@
     void tick();
 
 private:
+    struct last_sending;
     // One request of a client on its way.
     struct journey;
 
--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -2,6 +2,7 @@
 
 #include "kingcuptiller/fleet/fleet_state.h"
 #include "kingcuptiller/fleet/traffic_configuration.h"
+#include "kingcuptiller/relay/object_placement.h"
 #include "kingcuptiller/steering/shift_limiter.h"
 #include "kingcuptiller/values/time.h"
 
@@ -159,12 +160,15 @@
         double coldTokens = 1;
         instant coldCounted;
         remembered_object objects;
+        // Its number in its service's placement.
+        std::size_t number = 0;
     };
 
     // What requests of one service usually take at an idle upstream.
     struct service_record
     {
         std::vector<upstream_id> members;
+        object_placement placement;
         class_index index = 0;
         double familiarMs = 300;
         double unfamiliarMs = 900;
@@ -183,6 +187,7 @@
                                                       const std::string &object);
     [[nodiscard]] double loadOf(const upstream_record &upstream, instant now) const;
     [[nodiscard]] double networkMs(const upstream_record &upstream) const;
+    [[nodiscard]] nearness nearnessOf(const upstream_record &upstream) const;
     [[nodiscard]] double placePenaltyMs(const upstream_record &upstream) const;
     // Time in the upstream's queue and on the way.
     [[nodiscard]] double waitingMs(const upstream_record &upstream, const service_record &service,
--- /dev/null
+++ b/src/relay/object_placement.cpp
@@ -0,0 +1,60 @@
+#include "kingcuptiller/relay/object_placement.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+#include <utility>
+
+namespace kingcuptiller {
+
+namespace {
+
+// Ranks of so many objects are kept; clients choose the names of objects.
+constexpr std::size_t keptObjects = 4'096;
+constexpr std::size_t distances = 3;
+
+std::uint64_t hashOf(const std::string &object, const std::string &name)
+{
+    const std::uint64_t seed = XXH3_64bits(object.data(), object.size());
+    return XXH3_64bits_withSeed(name.data(), name.size(), seed);
+}
+
+} // namespace
+
+void object_placement::setMembers(std::vector<member> members)
+{
+    if (members == m_members)
+        return;
+    m_members = std::move(members);
+    m_ranks.clear();
+}
+
+std::vector<std::size_t> object_placement::rank(const std::string &object) const
+{
+    using place = std::tuple<nearness, std::uint64_t, std::size_t>;
+    std::vector<place> order;
+    order.reserve(m_members.size());
+    for (std::size_t number = 0; number < m_members.size(); ++number)
+        order.emplace_back(m_members[number].distance, hashOf(object, m_members[number].id.text()),
+                           number);
+    std::sort(order.begin(), order.end());
+    std::array<std::size_t, distances> next{};
+    std::vector<std::size_t> ranks(m_members.size());
+    for (const auto &[distance, hash, number] : order)
+        ranks[number] = next.at(static_cast<std::size_t>(distance))++;
+    return ranks;
+}
+
+const std::vector<std::size_t> &object_placement::ranksOf(const std::string &object)
+{
+    const auto known = m_ranks.find(object);
+    if (known != m_ranks.end())
+        return known->second;
+    if (m_ranks.size() >= keptObjects)
+        m_ranks.clear();
+    return m_ranks[object] = rank(object);
+}
+
+} // namespace kingcuptiller
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -29,6 +29,16 @@
 
 } // namespace
 
+// What the log tells of a request's last sending.
+struct request_relay::last_sending
+{
+    upstream_id upstream;
+    object_knowledge knowledge = object_knowledge::none;
+    // What the choice expected, and what it took.
+    milliseconds expected{0};
+    milliseconds took{0};
+};
+
 struct request_relay::journey
 {
     const relay_request &request;
@@ -44,6 +54,7 @@
     bool mayHaveRun = false;
     // The answer of an upstream that failed an idempotent request.
     std::optional<relay_response> failure;
+    std::optional<last_sending> last;
 };
 
 request_relay::request_relay(asio::io_context &context, relay_options options,
@@ -132,6 +143,7 @@
                  now + std::min(clientLimit, route->timeout) - m_options.answerReserve,
                  {},
                  false,
+                 std::nullopt,
                  std::nullopt};
     m_budget.request(trip.service, now);
     co_return co_await carry(trip);
@@ -175,6 +187,8 @@
         ? sending_outcome::abandoned
         : judge(result);
     noteLoad(upstream, result, outcome, knowledge, sent);
+    trip.last = {upstream.life.id, knowledge, upstream.expected,
+                 std::chrono::duration_cast<milliseconds>(m_options.now() - sent)};
     log_line(log_level::debug, "relay", "attempt_ended")
         .field("request", view(trip.request[m_options.headers.requestId]))
         .field("upstream", upstream.life.id.text())
@@ -360,8 +374,11 @@
         .field("reason", reason)
         .field("sendings", static_cast<std::uint64_t>(trip.tried.size()))
         .field("elapsed_ms", std::int64_t(elapsed));
-    if (!trip.tried.empty())
-        line.field("last_tried", trip.tried.rbegin()->text());
+    if (trip.last)
+        line.field("last_tried", trip.last->upstream.text())
+            .field("familiar", trip.last->knowledge == object_knowledge::familiar ? 1 : 0)
+            .field("expected_ms", std::int64_t(trip.last->expected.count()))
+            .field("last_ms", std::int64_t(trip.last->took.count()));
 }
 
 } // namespace kingcuptiller
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -23,9 +23,10 @@
 // A failing upstream costs a repeat, which takes about as long as another try.
 constexpr double failurePenaltyMs = 1'500;
 constexpr double coldFactor = 2;
-// Upstreams are told apart for an object that none of them knows by this much of a millisecond
-// range, so that all entries pick the same one.
-constexpr double spreadMs = 30;
+// Each further upstream in an object's order costs this much, up to what the first request for an
+// object takes longer than the next ones: beyond, keeping objects together is worth no waiting.
+constexpr double rankMs = 120;
+constexpr double mostRankMs = 600;
 // A silent upstream is used only when nothing else is there.
 constexpr double silencePenaltyMs = 2'000;
 // What a region costs that gets more than its share of the requests: much while all objects are
@@ -48,14 +49,6 @@
     return std::chrono::duration<double, std::milli>(duration).count();
 }
 
-double spreadOf(const std::string &object, const upstream_id &id)
-{
-    const std::uint64_t seed = XXH3_64bits(object.data(), object.size());
-    const std::uint64_t hash = XXH3_64bits_withSeed(id.text().data(), id.text().size(), seed);
-    return static_cast<double>(hash)
-        / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-}
-
 } // namespace
 
 upstream_choice::upstream_choice(choice_settings settings)
@@ -106,6 +99,7 @@
             service.coldRequestsPerSecond = settings->coldRequestsPerSecond;
             service.coldTime = settings->coldTime;
         }
+        record.number = service.members.size();
         service.members.push_back(life.id);
         if (coldNews)
             noteColdStart(record, life.coldFor, now);
@@ -114,6 +108,12 @@
             noteColdStart(record, service.coldTime, now);
         m_upstreams.emplace(life.id, std::move(record));
     }
+    for (auto &[name, service] : m_services) {
+        std::vector<object_placement::member> members;
+        for (const upstream_id &id : service.members)
+            members.push_back({id, nearnessOf(m_upstreams.at(id))});
+        service.placement.setMembers(std::move(members));
+    }
 }
 
 double &upstream_choice::service_record::usualMs(object_knowledge knowledge)
@@ -154,14 +154,24 @@
         : measured->second;
 }
 
-double upstream_choice::placePenaltyMs(const upstream_record &upstream) const
+nearness upstream_choice::nearnessOf(const upstream_record &upstream) const
 {
     if (upstream.life.zone == m_settings.zone)
+        return nearness::same_zone;
+    return upstream.region == m_settings.region ? nearness::same_region : nearness::other_region;
+}
+
+double upstream_choice::placePenaltyMs(const upstream_record &upstream) const
+{
+    switch (nearnessOf(upstream)) {
+    case nearness::same_zone:
         return 0;
-    return static_cast<double>((upstream.region == m_settings.region
-                                    ? m_settings.otherZonePenalty
-                                    : m_settings.otherRegionPenalty)
-                                   .count());
+    case nearness::same_region:
+        return static_cast<double>(m_settings.otherZonePenalty.count());
+    case nearness::other_region:
+        break;
+    }
+    return static_cast<double>(m_settings.otherRegionPenalty.count());
 }
 
 double upstream_choice::waitingMs(const upstream_record &upstream, const service_record &service,
@@ -252,6 +262,8 @@
     const bool counted = !request.tried.empty();
     if (!m_firstRequest)
         beginSpread(now);
+    const std::vector<std::size_t> *const ranks =
+        request.object.empty() ? nullptr : &service.placement.ranksOf(request.object);
     const double longest = static_cast<double>(request.timeLeft.count()) * usableTimeShare;
     std::map<region_name, double> shiftPenalties;
     upstream_record *best = nullptr;
@@ -269,7 +281,9 @@
         const double cost = expected + placePenaltyMs(upstream)
             + upstream.failureShare * failurePenaltyMs
             + (upstream.life.silent ? silencePenaltyMs : 0) + shift->second
-            + spreadOf(request.object, id) * spreadMs
+            + (ranks == nullptr
+                   ? 0
+                   : std::min(static_cast<double>((*ranks)[upstream.number]) * rankMs, mostRankMs))
             - (upstream.untried && upstream.region == m_settings.region && expected <= longest
                    ? untriedBonusMs
                    : 0);
--- /dev/null
+++ b/tests/relay/object_placement_test.cpp
@@ -0,0 +1,118 @@
+#include "kingcuptiller/relay/object_placement.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace kingcuptiller;
+
+namespace {
+
+constexpr std::size_t objectCount = 300;
+
+std::vector<object_placement::member> members(const std::vector<std::string> &names,
+                                              nearness distance = nearness::same_zone)
+{
+    std::vector<object_placement::member> result;
+    for (const std::string &name : names)
+        result.push_back({upstream_id(name), distance});
+    return result;
+}
+
+std::string objectName(std::size_t number)
+{
+    return "object-" + std::to_string(number);
+}
+
+// The upstream with rank 0 among those of one nearness.
+std::string firstFor(object_placement &placement, const std::vector<object_placement::member> &of,
+                     std::size_t object, nearness distance = nearness::same_zone)
+{
+    const auto &ranks = placement.ranksOf(objectName(object));
+    for (std::size_t number = 0; number < of.size(); ++number) {
+        if (of[number].distance == distance && ranks[number] == 0)
+            return of[number].id.text();
+    }
+    return {};
+}
+
+} // namespace
+
+class object_placement_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(object_placement_test);
+    CPPUNIT_TEST(entriesAgreeWhateverTheOrderOfUpstreams);
+    CPPUNIT_TEST(objectsAreSpreadOverAllUpstreams);
+    CPPUNIT_TEST(upstreamThatLeavesMovesOnlyItsOwnObjects);
+    CPPUNIT_TEST(eachNearnessHasAnOrderOfItsOwn);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against entries that warm up different upstreams for the same object, so that each
+    // upstream sees more objects than it remembers.
+    void entriesAgreeWhateverTheOrderOfUpstreams()
+    {
+        const auto here = members({"a", "b", "c", "d"});
+        const auto there = members({"d", "b", "a", "c"});
+        object_placement one;
+        one.setMembers(here);
+        object_placement other;
+        other.setMembers(there);
+        for (std::size_t object = 0; object < objectCount; ++object)
+            CPPUNIT_ASSERT_EQUAL(firstFor(one, here, object), firstFor(other, there, object));
+    }
+
+    // Guards against an upstream that is the first choice of far more objects than the others.
+    void objectsAreSpreadOverAllUpstreams()
+    {
+        const auto all = members({"a", "b", "c", "d"});
+        object_placement placement;
+        placement.setMembers(all);
+        std::map<std::string, std::size_t> firsts;
+        for (std::size_t object = 0; object < objectCount; ++object)
+            ++firsts[firstFor(placement, all, object)];
+        for (const auto &each : all) {
+            CPPUNIT_ASSERT_MESSAGE(each.id.text(), firsts[each.id.text()] > objectCount / 6);
+            CPPUNIT_ASSERT_MESSAGE(each.id.text(), firsts[each.id.text()] < objectCount / 3);
+        }
+    }
+
+    // Guards against a fleet that is unfamiliar with all objects after each change of upstreams.
+    void upstreamThatLeavesMovesOnlyItsOwnObjects()
+    {
+        const auto before = members({"a", "b", "c", "d"});
+        const auto after = members({"a", "b", "d"});
+        object_placement placement;
+        placement.setMembers(before);
+        std::vector<std::string> firsts;
+        for (std::size_t object = 0; object < objectCount; ++object)
+            firsts.push_back(firstFor(placement, before, object));
+        placement.setMembers(after);
+        for (std::size_t object = 0; object < objectCount; ++object) {
+            if (firsts[object] != "c")
+                CPPUNIT_ASSERT_EQUAL(firsts[object], firstFor(placement, after, object));
+        }
+    }
+
+    // Guards against remote upstreams that count as far down the order only because many near ones
+    // come first.
+    void eachNearnessHasAnOrderOfItsOwn()
+    {
+        auto all = members({"a", "b", "c"});
+        const auto remote = members({"x", "y"}, nearness::other_region);
+        all.insert(all.end(), remote.begin(), remote.end());
+        object_placement placement;
+        placement.setMembers(all);
+        for (std::size_t object = 0; object < objectCount; ++object) {
+            std::vector<std::size_t> ranks = placement.ranksOf(objectName(object));
+            std::sort(ranks.begin(), ranks.begin() + 3);
+            std::sort(ranks.begin() + 3, ranks.end());
+            CPPUNIT_ASSERT((ranks == std::vector<std::size_t>{0, 1, 2, 0, 1}));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(object_placement_test);
--- a/tests/relay/upstream_choice_test.cpp
+++ b/tests/relay/upstream_choice_test.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <map>
+#include <string>
 
 using namespace kingcuptiller;
 
@@ -78,6 +79,18 @@
             serve("object-" + std::to_string(i));
     }
 
+    // The same without teaching anything about the upstreams.
+    void tryAll()
+    {
+        static_cast<void>(choose());
+        now += std::chrono::seconds(20);
+        for (const upstream_life &life : view.upstreams) {
+            const object_knowledge knowledge = choices.started(life.id, "", now);
+            choices.finished(life.id, knowledge, sending_outcome::abandoned, milliseconds(1),
+                             std::nullopt, now);
+        }
+    }
+
     fleet_view view;
     route_table routes;
     instant now{std::chrono::seconds(100)};
@@ -90,6 +103,8 @@
 {
     CPPUNIT_TEST_SUITE(upstream_choice_test);
     CPPUNIT_TEST(requestsForAnObjectReturnToItsUpstream);
+    CPPUNIT_TEST(entriesSendAnObjectToTheSameUpstream);
+    CPPUNIT_TEST(objectsStayOnFewUpstreamsUnderLoad);
     CPPUNIT_TEST(homeIsPreferredWhileItHasRoom);
     CPPUNIT_TEST(evacuatedZonesGetNothing);
     CPPUNIT_TEST(triedUpstreamsAreNotChosenAgain);
@@ -112,6 +127,36 @@
             CPPUNIT_ASSERT_EQUAL(first, world.serve("object-a"));
     }
 
+    // Guards against upstreams that forget all objects, because each entry brings its own ones:
+    // they answered three times slower, and a short overload did not end any more.
+    void entriesSendAnObjectToTheSameUpstream()
+    {
+        choice_world one;
+        choice_world other;
+        one.warmUp();
+        other.warmUp();
+        for (int i = 0; i < 40; ++i) {
+            const std::string object = "object-" + std::to_string(i);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(object, one.serve(object), other.serve(object));
+        }
+    }
+
+    // The same within one entry: a request does not leave its object's first upstream for a small
+    // difference of load, which would teach the object to all upstreams in turn.
+    void objectsStayOnFewUpstreamsUnderLoad()
+    {
+        for (int i = 0; i < 20; ++i) {
+            const std::string object = "new-" + std::to_string(i);
+            choice_world world;
+            world.tryAll();
+            const std::string first = world.choose(object);
+            for (int slot = 0; slot < 4; ++slot)
+                static_cast<void>(world.choices.started(
+                    upstream_id(first), "other-" + std::to_string(slot), world.now));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(object, first, world.choose(object));
+        }
+    }
+
     // Guards against paying for bytes between regions without need.
     void homeIsPreferredWhileItHasRoom()
     {
