Let entries ask control hosts before they take one

Cause: an entry took the first control host that accepted its connection. The kernel of a frozen host accepts too, so an entry lost up to 2 s there, after up to 2 s at the host that it left, and then met hosts without a leader; drains and configurations came into force later than 2.5 s after they were acknowledged.

Change: all known hosts are asked whether they are current, the first that says so is taken; a host that keeps silent for 0.9 s is doubted and the others are asked beside it.

--- a/include/kingcuptiller/node/fleet_feed.h
+++ b/include/kingcuptiller/node/fleet_feed.h
@@ -22,16 +22,18 @@
     serving_entry entry;
     // How often the entry tells that it is there.
     milliseconds presenceInterval{500};
-    // A control host that says nothing for this long is given up.
-    milliseconds silence{1'500};
-    // A control host that was given up is not asked again for this long, unless no other answers.
-    milliseconds avoidance{5'000};
+    // When the control host has said nothing for this long, the others are asked. Longer than a
+    // presence and its answer take between regions.
+    milliseconds doubt{900};
+    // How often hosts are asked while there is none or it is in doubt.
+    milliseconds probeInterval{200};
     std::function<instant()> now;
 };
 
 // An entry's connection to the control hosts: it tells one of them that the entry serves and
-// receives views of the fleet. Of all hosts that it knows the one that answers first is used, which
-// is a near one. The last view stays in force while none answers.
+// receives views of the fleet. While it has none, or that one keeps silent, it asks all that it
+// knows, and takes the first that says it is current: a frozen host still accepts connections. The
+// last view stays in force meanwhile.
 class fleet_feed
 {
 public:
@@ -42,8 +44,17 @@
     void setServing(bool serving);
 
 private:
-    void dialAll();
-    void adopt(const host_id &host, boost::asio::ip::tcp::socket socket);
+    // A host that is asked whether it is current; without a connection while one is being made.
+    struct candidate
+    {
+        std::shared_ptr<frame_connection> connection;
+    };
+
+    void probeAll();
+    void dial(const host_id &host);
+    void noteConnected(const host_id &host, boost::asio::ip::tcp::socket socket);
+    void closeCandidates();
+    void adopt(const host_id &host);
     void receive(const frame &received);
     void drop(const char *reason);
     void sendPresence();
@@ -53,14 +64,11 @@
     fleet_feed_options m_options;
     std::function<void(fleet_view)> m_onView;
     std::set<host_id> m_hosts;
-    std::map<host_id, instant> m_avoidUntil;
+    std::map<host_id, candidate> m_candidates;
     std::shared_ptr<frame_connection> m_connection;
     host_id m_host;
     instant m_heard;
-    instant m_connected;
-    instant m_dialUntil;
-    // Grows with each round of connecting; late connections of a former round are closed.
-    std::uint64_t m_round = 0;
+    instant m_presenceDue;
     bool m_serving = false;
     revision_number m_version;
     std::uint64_t m_commands = 0;
--- a/include/kingcuptiller/node/frame_connection.h
+++ b/include/kingcuptiller/node/frame_connection.h
@@ -27,9 +27,11 @@
     reply = 'r',
     // An entry tells that it serves, and which view it has.
     presence = 'e',
+    // An entry asks whether this control host is current; answered `current` or `stale`.
+    probe = 'q',
     // A view of the fleet, for an entry.
     view = 'v',
-    // The entry's view is current.
+    // The entry's view is current, or, after a probe, the host is.
     current = 'k',
     // This control host has lost the leader; its view may be old.
     stale = 's',
--- a/src/node/control_links.cpp
+++ b/src/node/control_links.cpp
@@ -151,6 +151,9 @@
         case frame_kind::reply:
             noteReply(received.body);
             break;
+        case frame_kind::probe:
+            connection->send(m_current ? frame_kind::current : frame_kind::stale, {});
+            break;
         case frame_kind::presence:
             notePresence(connection, received.body);
             break;
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -65,10 +65,10 @@
         , m_onView(std::move(onView))
         , m_work(asio::make_work_guard(m_context))
         , m_feed(m_context,
-                 fleet_feed_options{settings.seeds, settings.internalPort,
-                                    serving_entry{traffic, settings.region, settings.zone},
-                                    milliseconds(500), milliseconds(1'500), milliseconds(5'000),
-                                    readInstant},
+                 fleet_feed_options{.seeds = settings.seeds,
+                                    .controlPort = settings.internalPort,
+                                    .entry = serving_entry{traffic, settings.region, settings.zone},
+                                    .now = readInstant},
                  [this](const fleet_view &view) { receive(view); })
         , m_thread([this] { m_context.run(); })
     {
--- a/src/node/fleet_feed.cpp
+++ b/src/node/fleet_feed.cpp
@@ -4,7 +4,6 @@
 #include "kingcuptiller/telemetry/log.h"
 #include "kingcuptiller/values/error.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace kingcuptiller {
@@ -15,8 +14,6 @@
 namespace {
 
 constexpr milliseconds dialLimit{1'000};
-// The shortest time between two rounds of connecting.
-constexpr milliseconds dialPause{200};
 
 } // namespace
 
@@ -28,7 +25,7 @@
     , m_hosts(m_options.seeds.begin(), m_options.seeds.end())
     , m_tick(context)
 {
-    dialAll();
+    probeAll();
     scheduleTick();
 }
 
@@ -40,69 +37,103 @@
 
 void fleet_feed::scheduleTick()
 {
-    m_tick.expires_after(m_connection ? m_options.presenceInterval : dialPause);
+    m_tick.expires_after(m_options.probeInterval);
     m_tick.async_wait([this](error_code problem) {
         if (problem)
             return;
         const instant now = m_options.now();
-        if (m_connection && now - m_heard >= m_options.silence)
-            drop("silent");
-        if (m_connection)
+        if (!m_connection || now - m_heard >= m_options.doubt)
+            probeAll();
+        if (m_connection && now >= m_presenceDue)
             sendPresence();
-        else if (now >= m_dialUntil)
-            dialAll();
         scheduleTick();
     });
 }
 
-void fleet_feed::dialAll()
+void fleet_feed::probeAll()
 {
-    const instant now = m_options.now();
-    m_dialUntil = now + dialPause;
-    const std::uint64_t round = ++m_round;
-    std::vector<host_id> usable;
-    std::copy_if(m_hosts.begin(), m_hosts.end(), std::back_inserter(usable), [&](const auto &host) {
-        const auto avoided = m_avoidUntil.find(host);
-        return avoided == m_avoidUntil.end() || avoided->second <= now;
+    for (const host_id &host : m_hosts) {
+        const auto [place, isNew] = m_candidates.try_emplace(host);
+        if (isNew)
+            dial(host);
+        else if (place->second.connection)
+            place->second.connection->send(frame_kind::probe, {});
+    }
+}
+
+void fleet_feed::dial(const host_id &host)
+{
+    error_code problem;
+    const auto address = asio::ip::make_address(host.text(), problem);
+    if (problem)
+        return;
+    const auto socket = std::make_shared<asio::ip::tcp::socket>(m_context);
+    const auto timer = std::make_shared<asio::steady_timer>(m_context, dialLimit);
+    timer->async_wait([socket](error_code stopped) {
+        error_code ignored;
+        if (!stopped)
+            socket->close(ignored);
     });
-    if (usable.empty())
-        usable.assign(m_hosts.begin(), m_hosts.end());
-    for (const host_id &host : usable) {
-        error_code problem;
-        const auto address = asio::ip::make_address(host.text(), problem);
-        if (problem)
-            continue;
-        const auto socket = std::make_shared<asio::ip::tcp::socket>(m_context);
-        const auto timer = std::make_shared<asio::steady_timer>(m_context, dialLimit);
-        timer->async_wait([socket](error_code stopped) {
-            error_code ignored;
-            if (!stopped)
-                socket->close(ignored);
+    socket->async_connect({address, m_options.controlPort},
+                          [this, host, socket, timer](error_code failure) {
+                              timer->cancel();
+                              if (!failure && socket->is_open()) {
+                                  noteConnected(host, std::move(*socket));
+                                  return;
+                              }
+                              const auto asked = m_candidates.find(host);
+                              if (asked != m_candidates.end() && !asked->second.connection)
+                                  m_candidates.erase(asked);
+                          });
+}
+
+void fleet_feed::noteConnected(const host_id &host, asio::ip::tcp::socket socket)
+{
+    const auto asked = m_candidates.find(host);
+    // Another host was taken meanwhile.
+    if (asked == m_candidates.end() || asked->second.connection)
+        return;
+    const auto connection = std::make_shared<frame_connection>(std::move(socket));
+    asked->second.connection = connection;
+    const std::weak_ptr<frame_connection> weak = connection;
+    connection->start(
+        [this, host, weak](const frame &received) {
+            if (weak.lock() == m_connection)
+                receive(received);
+            else if (received.kind == frame_kind::current)
+                adopt(host);
+        },
+        [this, host, weak] {
+            const auto closed = weak.lock();
+            const auto found = m_candidates.find(host);
+            if (closed == m_connection)
+                drop("closed");
+            else if (found != m_candidates.end() && found->second.connection == closed)
+                m_candidates.erase(found);
         });
-        socket->async_connect({address, m_options.controlPort},
-                              [this, host, socket, timer, round](error_code failure) {
-                                  timer->cancel();
-                                  if (!failure && socket->is_open() && round == m_round
-                                      && !m_connection)
-                                      adopt(host, std::move(*socket));
-                              });
+    connection->send(frame_kind::probe, {});
+}
+
+void fleet_feed::closeCandidates()
+{
+    for (const auto &[host, each] : std::exchange(m_candidates, {})) {
+        if (each.connection)
+            each.connection->close();
     }
 }
 
-void fleet_feed::adopt(const host_id &host, asio::ip::tcp::socket socket)
+void fleet_feed::adopt(const host_id &host)
 {
-    ++m_round;
+    const auto chosen = m_candidates.extract(host);
+    if (chosen.empty())
+        return;
+    if (m_connection)
+        drop("silent");
     m_host = host;
     m_heard = m_options.now();
-    m_connected = m_heard;
-    m_connection = std::make_shared<frame_connection>(std::move(socket));
+    m_connection = chosen.mapped().connection;
+    closeCandidates();
     log_line(log_level::info, "entry", "control_connected").field("host", host.text());
-    const auto *const connection = m_connection.get();
-    m_connection->start([this](const frame &received) { receive(received); },
-                        [this, connection] {
-                            if (m_connection.get() == connection)
-                                drop("closed");
-                        });
     sendPresence();
 }
 
@@ -111,18 +142,16 @@
     log_line(log_level::warning, "entry", "control_lost")
         .field("host", m_host.text())
         .field("reason", reason);
-    m_avoidUntil[m_host] = m_options.now() + m_options.avoidance;
     if (const auto connection = std::exchange(m_connection, nullptr))
         connection->close();
-    // While no host has a leader, they would otherwise be asked without a pause.
-    if (m_options.now() >= m_dialUntil)
-        dialAll();
+    probeAll();
 }
 
 void fleet_feed::sendPresence()
 {
     if (!m_connection)
         return;
+    m_presenceDue = m_options.now() + m_options.presenceInterval;
     Json::Value object;
     object["version"] = Json::UInt64(m_version.number());
     object["commands"] = Json::UInt64(m_commands);
@@ -135,12 +164,10 @@
 {
     m_heard = m_options.now();
     if (received.kind == frame_kind::stale) {
-        // After a start of the whole system no host has a leader; this one sends the view as soon
-        // as it has one.
-        if (m_commands > 0 || m_heard - m_connected >= m_options.silence)
-            drop("without_leader");
+        drop("without_leader");
         return;
     }
+    closeCandidates();
     if (received.kind != frame_kind::view)
         return;
     try {
--- /dev/null
+++ b/tests/node/fleet_feed_test.cpp
@@ -0,0 +1,160 @@
+#include "kingcuptiller/node/fleet_feed.h"
+#include "kingcuptiller/relay/http_types.h"
+#include "kingcuptiller/transport/free_port.h"
+#include "kingcuptiller/transport/system_clock.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace kingcuptiller;
+
+namespace {
+
+namespace asio = boost::asio;
+
+enum class host_mood { current, stale, frozen };
+
+// A control host on a loopback address. A frozen one accepts connections, as its kernel would, and
+// answers nothing.
+class fake_control_host
+{
+public:
+    fake_control_host(asio::io_context &context, const std::string &address, std::uint16_t port,
+                      host_mood first)
+        : mood(first)
+        , m_acceptor(openListener(context, toEndpoint(address + ":" + std::to_string(port))))
+    {
+        accept();
+    }
+
+    host_mood mood;
+    int presences = 0;
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept(
+            [this](boost::system::error_code problem, asio::ip::tcp::socket socket) {
+                if (problem)
+                    return;
+                const auto connection = std::make_shared<frame_connection>(std::move(socket));
+                m_connections.push_back(connection);
+                connection->start([this, weak = std::weak_ptr(connection)](
+                                      const frame &received) { answer(*weak.lock(), received); },
+                                  [] {});
+                accept();
+            });
+    }
+
+    void answer(frame_connection &connection, const frame &received)
+    {
+        if (mood == host_mood::frozen)
+            return;
+        if (mood == host_mood::stale) {
+            connection.send(frame_kind::stale, {});
+            return;
+        }
+        connection.send(frame_kind::current, {});
+        if (received.kind != frame_kind::presence)
+            return;
+        ++presences;
+        fleet_view view;
+        view.commands = 7;
+        connection.send(frame_kind::view, encodeFleetView(view));
+    }
+
+    asio::ip::tcp::acceptor m_acceptor;
+    std::vector<std::shared_ptr<frame_connection>> m_connections;
+};
+
+struct feed_world
+{
+    feed_world(host_mood first, host_mood second, host_mood third)
+        : one(context, "127.0.0.2", port, first)
+        , two(context, "127.0.0.3", port, second)
+        , three(context, "127.0.0.4", port, third)
+        , feed(context,
+               {.seeds = {host_id("127.0.0.2"), host_id("127.0.0.3"), host_id("127.0.0.4")},
+                .controlPort = port,
+                .entry = {},
+                .presenceInterval = milliseconds(20),
+                .doubt = milliseconds(60),
+                .probeInterval = milliseconds(10),
+                .now = readInstant},
+               [this](const fleet_view &) { ++views; })
+    {
+    }
+
+    // Whether `condition` comes true within a time that is far above all limits of the feed.
+    template <typename Condition>
+    bool reaches(const Condition &condition)
+    {
+        for (int round = 0; round < 1'000 && !condition(); ++round)
+            context.run_for(std::chrono::milliseconds(10));
+        return condition();
+    }
+
+    asio::io_context context;
+    std::uint16_t port = findFreePort();
+    fake_control_host one;
+    fake_control_host two;
+    fake_control_host three;
+    int views = 0;
+    fleet_feed feed;
+};
+
+} // namespace
+
+class fleet_feed_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(fleet_feed_test);
+    CPPUNIT_TEST(onlyACurrentHostIsTaken);
+    CPPUNIT_TEST(hostThatFreezesIsLeftForACurrentOne);
+    CPPUNIT_TEST(hostThatLosesItsLeaderIsLeft);
+    CPPUNIT_TEST(entryWaitsUntilAnyHostIsCurrent);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against time lost at a frozen host, whose kernel still accepts connections, and at one
+    // that is cut off from its leader: drains and configurations came into force too late.
+    void onlyACurrentHostIsTaken()
+    {
+        feed_world world(host_mood::frozen, host_mood::stale, host_mood::current);
+        CPPUNIT_ASSERT(world.reaches([&] { return world.views > 0; }));
+        CPPUNIT_ASSERT(world.three.presences > 0);
+        CPPUNIT_ASSERT_EQUAL(0, world.one.presences + world.two.presences);
+    }
+
+    void hostThatFreezesIsLeftForACurrentOne()
+    {
+        feed_world world(host_mood::stale, host_mood::frozen, host_mood::current);
+        CPPUNIT_ASSERT(world.reaches([&] { return world.views > 0; }));
+        world.three.mood = host_mood::frozen;
+        world.one.mood = host_mood::current;
+        CPPUNIT_ASSERT(world.reaches([&] { return world.one.presences > 0; }));
+    }
+
+    void hostThatLosesItsLeaderIsLeft()
+    {
+        feed_world world(host_mood::stale, host_mood::current, host_mood::stale);
+        CPPUNIT_ASSERT(world.reaches([&] { return world.views > 0; }));
+        world.two.mood = host_mood::stale;
+        world.three.mood = host_mood::current;
+        CPPUNIT_ASSERT(world.reaches([&] { return world.three.presences > 0; }));
+    }
+
+    // Guards against an entry that gives up when the whole system starts and no host has a leader.
+    void entryWaitsUntilAnyHostIsCurrent()
+    {
+        feed_world world(host_mood::stale, host_mood::stale, host_mood::stale);
+        world.context.run_for(std::chrono::milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(0, world.views);
+        world.two.mood = host_mood::current;
+        CPPUNIT_ASSERT(world.reaches([&] { return world.views > 0; }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(fleet_feed_test);
