Learn how fast queues move, and refuse what would wait past its target

Cause: the wait at an upstream was its queue times the duration of a request for a familiar object. Now the pace is learned from answers and timeouts under load, and a request is refused when the upstream chosen for it has a queue of more than 1.2 times the latency target. A zone further costs 120 ms, as much as a rank.

--- a/include/kingcuptiller/relay/request_relay.h
+++ b/include/kingcuptiller/relay/request_relay.h
@@ -80,7 +80,7 @@
     [[nodiscard]] relay_response openEnd(journey &trip, std::string_view reason);
     [[nodiscard]] const service_name &partOf(const traffic_route &route);
     void noteLoad(const chosen_upstream &upstream, const sending_result &result,
-                  sending_outcome outcome, object_knowledge knowledge, instant sent);
+                  sending_outcome outcome, const sending_record &sending, instant sent);
     void logEnd(const journey &trip, std::string_view outcome, std::string_view reason) const;
 
     boost::asio::io_context &m_context;
--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -35,6 +35,16 @@
     unfamiliar,
 };
 
+// What was known of an upstream when a request was sent to it.
+struct sending_record
+{
+    object_knowledge knowledge = object_knowledge::none;
+    // Requests that each of its slots had to finish first.
+    double queueRounds = 0;
+
+    auto operator<=>(const sending_record &) const = default;
+};
+
 // How one sending of a request ended, as far as the choice of upstreams is concerned.
 enum class sending_outcome {
     answered,
@@ -59,8 +69,9 @@
     region_name region;
     zone_name zone;
     std::map<zone_name, region_name> regions;
-    // An upstream in another zone must be faster by this much, because bytes between zones cost.
-    milliseconds otherZonePenalty{40};
+    // An upstream in another zone must be faster by this much, because bytes between zones cost;
+    // as much as one rank in an object's order, so that load may leave the zone but order does not.
+    milliseconds otherZonePenalty{120};
     // The same for another region, beside the way there.
     milliseconds otherRegionPenalty{60};
     // Assumed way to another region and back until a connection there has been measured.
@@ -92,6 +103,8 @@
 {
     upstream_life life;
     milliseconds expected{0};
+    // The part of it that the request waits for others.
+    milliseconds queued{0};
 };
 
 // Why no upstream was chosen, and when one may be free.
@@ -107,8 +120,8 @@
 // recently answers much faster, so requests for it return there until waiting would cost more.
 //
 //     const auto choice = choices.choose(request, now);
-//     const auto knowledge = choices.started(choice->life.id, request.object, now);
-//     choices.finished(choice->life.id, knowledge, sending_outcome::answered, elapsed, load, now);
+//     const auto sending = choices.started(choice->life.id, request.object, now);
+//     choices.finished(choice->life.id, sending, sending_outcome::answered, elapsed, load, now);
 //
 // One thread owns it.
 class upstream_choice
@@ -122,10 +135,10 @@
     // The best upstream, or nothing; then `reason` tells why.
     [[nodiscard]] std::optional<chosen_upstream> choose(const choice_request &request, instant now,
                                                         no_choice &reason);
-    // Returns what the upstream knew of the object; `finished` takes it back.
-    [[nodiscard]] object_knowledge started(const upstream_id &id, const std::string &object,
-                                           instant now);
-    void finished(const upstream_id &id, object_knowledge knowledge, sending_outcome outcome,
+    // Returns what was known when the request was sent; `finished` takes it back.
+    [[nodiscard]] sending_record started(const upstream_id &id, const std::string &object,
+                                         instant now);
+    void finished(const upstream_id &id, const sending_record &sending, sending_outcome outcome,
                   microseconds elapsed, const std::optional<upstream_load> &load, instant now);
     // The way to a zone and back as a new connection showed it.
     void noteRoundTrip(const zone_name &zone, microseconds elapsed);
@@ -173,6 +186,8 @@
         double familiarMs = 300;
         double unfamiliarMs = 900;
         double withoutObjectMs = 300;
+        // What a request takes on average when others wait: how fast a queue moves.
+        double queuedMs = 300;
 
         [[nodiscard]] double &usualMs(object_knowledge knowledge);
         double coldRequestsPerSecond = 0;
@@ -189,9 +204,11 @@
     [[nodiscard]] double networkMs(const upstream_record &upstream) const;
     [[nodiscard]] nearness nearnessOf(const upstream_record &upstream) const;
     [[nodiscard]] double placePenaltyMs(const upstream_record &upstream) const;
-    // Time in the upstream's queue and on the way.
-    [[nodiscard]] double waitingMs(const upstream_record &upstream, const service_record &service,
-                                   instant now) const;
+    // Requests that each slot has to finish before it takes a further one.
+    [[nodiscard]] double queueRounds(const upstream_record &upstream, instant now) const;
+    // Time in the upstream's queue.
+    [[nodiscard]] double queueMs(const upstream_record &upstream, const service_record &service,
+                                 instant now) const;
     // The work itself, given whether the upstream knows the object.
     [[nodiscard]] double workMs(const upstream_record &upstream, service_record &service,
                                 const std::string &object, instant now) const;
@@ -201,8 +218,10 @@
     void refillColdTokens(upstream_record &upstream, const service_record &service,
                           instant now) const;
     void noteFailure(upstream_record &upstream, sending_outcome outcome, instant now);
-    void noteDuration(upstream_record &upstream, object_knowledge knowledge, microseconds elapsed,
-                      instant now);
+    void noteDuration(upstream_record &upstream, const sending_record &sending,
+                      microseconds elapsed, instant now);
+    void noteQueue(const upstream_record &upstream, const sending_record &sending,
+                   microseconds elapsed, instant now);
     void remember(upstream_record &upstream, const std::string &object) const;
 
     choice_settings m_settings;
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -32,10 +32,8 @@
 // What the log tells of a request's last sending.
 struct request_relay::last_sending
 {
-    upstream_id upstream;
+    chosen_upstream upstream;
     object_knowledge knowledge = object_knowledge::none;
-    // What the choice expected, and what it took.
-    milliseconds expected{0};
     milliseconds took{0};
 };
 
@@ -180,14 +178,14 @@
 request_relay::attempt(journey &trip, const chosen_upstream &upstream)
 {
     const instant sent = m_options.now();
-    const object_knowledge knowledge = m_choice.started(upstream.life.id, trip.object, sent);
+    const sending_record sending = m_choice.started(upstream.life.id, trip.object, sent);
     sending_result result = co_await sendTo(trip, upstream);
     const sending_outcome outcome =
         trip.client.hasLeft() && result.kind != sending_result::end::answered
         ? sending_outcome::abandoned
         : judge(result);
-    noteLoad(upstream, result, outcome, knowledge, sent);
-    trip.last = {upstream.life.id, knowledge, upstream.expected,
+    noteLoad(upstream, result, outcome, sending, sent);
+    trip.last = {upstream, sending.knowledge,
                  std::chrono::duration_cast<milliseconds>(m_options.now() - sent)};
     log_line(log_level::debug, "relay", "attempt_ended")
         .field("request", view(trip.request[m_options.headers.requestId]))
@@ -309,7 +307,7 @@
 }
 
 void request_relay::noteLoad(const chosen_upstream &upstream, const sending_result &result,
-                             sending_outcome outcome, object_knowledge knowledge, instant sent)
+                             sending_outcome outcome, const sending_record &sending, instant sent)
 {
     const instant now = m_options.now();
     std::optional<upstream_load> load;
@@ -319,7 +317,7 @@
             cold && *cold > 0)
             m_choice.noteCold(upstream.life.id, milliseconds(*cold), now);
     }
-    m_choice.finished(upstream.life.id, knowledge, outcome, now - sent, load, now);
+    m_choice.finished(upstream.life.id, sending, outcome, now - sent, load, now);
 }
 
 relay_response request_relay::handedOn(const relay_response &answer) const
@@ -375,9 +373,10 @@
         .field("sendings", static_cast<std::uint64_t>(trip.tried.size()))
         .field("elapsed_ms", std::int64_t(elapsed));
     if (trip.last)
-        line.field("last_tried", trip.last->upstream.text())
+        line.field("last_tried", trip.last->upstream.life.id.text())
             .field("familiar", trip.last->knowledge == object_knowledge::familiar ? 1 : 0)
-            .field("expected_ms", std::int64_t(trip.last->expected.count()))
+            .field("expected_ms", std::int64_t(trip.last->upstream.expected.count()))
+            .field("queue_ms", std::int64_t(trip.last->upstream.queued.count()))
             .field("last_ms", std::int64_t(trip.last->took.count()));
 }
 
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -20,6 +20,9 @@
 constexpr double waitingForEachSlot = 3.5;
 // A share of the time left that the expected answer may take.
 constexpr double usableTimeShare = 0.9;
+// A request may wait in a queue for this share of its latency target. Longer queues would make all
+// requests late without serving more of them, and those that run out of time cost work in vain.
+constexpr double queueShareOfTarget = 1.2;
 // A failing upstream costs a repeat, which takes about as long as another try.
 constexpr double failurePenaltyMs = 1'500;
 constexpr double coldFactor = 2;
@@ -174,13 +177,16 @@
     return static_cast<double>(m_settings.otherRegionPenalty.count());
 }
 
-double upstream_choice::waitingMs(const upstream_record &upstream, const service_record &service,
-                                  instant now) const
+double upstream_choice::queueRounds(const upstream_record &upstream, instant now) const
 {
     const double slots = std::max<double>(upstream.life.slots, 1);
-    const double ahead = loadOf(upstream, now) + 1 - slots;
-    const double waiting = ahead > 0 ? ahead / slots * service.familiarMs * upstream.slowness : 0;
-    return networkMs(upstream) + waiting;
+    return std::max(loadOf(upstream, now) + 1 - slots, 0.0) / slots;
+}
+
+double upstream_choice::queueMs(const upstream_record &upstream, const service_record &service,
+                                instant now) const
+{
+    return queueRounds(upstream, now) * service.queuedMs * upstream.slowness;
 }
 
 double upstream_choice::workMs(const upstream_record &upstream, service_record &service,
@@ -265,16 +271,20 @@
     const std::vector<std::size_t> *const ranks =
         request.object.empty() ? nullptr : &service.placement.ranksOf(request.object);
     const double longest = static_cast<double>(request.timeLeft.count()) * usableTimeShare;
+    const double longestQueue =
+        static_cast<double>(request.latencyTarget.count()) * queueShareOfTarget;
     std::map<region_name, double> shiftPenalties;
     upstream_record *best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
     double bestExpected = 0;
+    double bestQueued = 0;
     for (const upstream_id &id : service.members) {
         upstream_record &upstream = m_upstreams.at(id);
         if (!mayUse(upstream, service, request, now))
             continue;
+        const double queued = queueMs(upstream, service, now);
         const double expected =
-            waitingMs(upstream, service, now) + workMs(upstream, service, request.object, now);
+            networkMs(upstream) + queued + workMs(upstream, service, request.object, now);
         auto [shift, unknown] = shiftPenalties.try_emplace(upstream.region, 0);
         if (unknown)
             shift->second = shiftPenaltyMs(service, upstream.region, counted, now);
@@ -291,32 +301,35 @@
             best = &upstream;
             bestCost = cost;
             bestExpected = expected;
+            bestQueued = queued;
         }
     }
     const flow_source source{service.index, indexOf(m_settings.region)};
-    if (best == nullptr || bestExpected > longest) {
+    if (best == nullptr || bestExpected > longest || bestQueued > longestQueue) {
         if (!counted)
             m_shift.refuse(source, now);
         return std::nullopt;
     }
     m_shift.forward(source, indexOf(best->region), counted, now);
-    return chosen_upstream{best->life, milliseconds(std::llround(bestExpected))};
+    return chosen_upstream{best->life, milliseconds(std::llround(bestExpected)),
+                           milliseconds(std::llround(bestQueued))};
 }
 
-object_knowledge upstream_choice::started(const upstream_id &id, const std::string &object,
-                                          instant now)
+sending_record upstream_choice::started(const upstream_id &id, const std::string &object,
+                                        instant now)
 {
     const auto found = m_upstreams.find(id);
     if (found == m_upstreams.end())
-        return object_knowledge::none;
-    const object_knowledge knowledge = knowledgeOf(found->second, object);
-    ++found->second.inFlight;
-    found->second.untried = false;
-    if (now < found->second.coldUntil)
-        found->second.coldTokens -= 1;
+        return {};
+    upstream_record &upstream = found->second;
+    const sending_record sending{knowledgeOf(upstream, object), queueRounds(upstream, now)};
+    ++upstream.inFlight;
+    upstream.untried = false;
+    if (now < upstream.coldUntil)
+        upstream.coldTokens -= 1;
     // Requests for one object that arrive together run at one upstream.
-    remember(found->second, object);
-    return knowledge;
+    remember(upstream, object);
+    return sending;
 }
 
 } // namespace kingcuptiller
--- a/src/relay/upstream_observations.cpp
+++ b/src/relay/upstream_observations.cpp
@@ -65,7 +65,17 @@
     upstream.avoidUntil = now + upstream.lastAvoidance;
 }
 
-void upstream_choice::noteDuration(upstream_record &upstream, object_knowledge knowledge,
+void upstream_choice::noteQueue(const upstream_record &upstream, const sending_record &sending,
+                                microseconds elapsed, instant now)
+{
+    if (now < upstream.coldUntil)
+        return;
+    service_record &service = m_services[upstream.life.service];
+    const double each = (toMs(elapsed) - networkMs(upstream)) / (1 + sending.queueRounds);
+    service.queuedMs += (std::max(each, 1.0) - service.queuedMs) * durationWeight;
+}
+
+void upstream_choice::noteDuration(upstream_record &upstream, const sending_record &sending,
                                    microseconds elapsed, instant now)
 {
     service_record &service = m_services[upstream.life.service];
@@ -73,7 +83,7 @@
     if (loadOf(upstream, now) + 1 > upstream.life.slots || now < upstream.coldUntil)
         return;
     const double work = std::max(toMs(elapsed) - networkMs(upstream), 1.0);
-    double &usual = service.usualMs(knowledge);
+    double &usual = service.usualMs(sending.knowledge);
     upstream.slowness +=
         (std::clamp(work / usual, lowestSlowness, highestSlowness) - upstream.slowness)
         * slownessWeight;
@@ -81,7 +91,7 @@
     usual += (work - usual) * durationWeight / std::max(upstream.slowness, 1.0);
 }
 
-void upstream_choice::finished(const upstream_id &id, object_knowledge knowledge,
+void upstream_choice::finished(const upstream_id &id, const sending_record &sending,
                                sending_outcome outcome, microseconds elapsed,
                                const std::optional<upstream_load> &load, instant now)
 {
@@ -98,6 +108,8 @@
     }
     if (outcome == sending_outcome::abandoned)
         return;
+    if (outcome == sending_outcome::answered || outcome == sending_outcome::timed_out)
+        noteQueue(upstream, sending, elapsed, now);
     if (outcome != sending_outcome::answered) {
         noteFailure(upstream, outcome, now);
         return;
@@ -105,7 +117,7 @@
     upstream.failuresInRow = 0;
     upstream.lastAvoidance = milliseconds(0);
     upstream.failureShare *= 1 - failureWeight;
-    noteDuration(upstream, knowledge, elapsed, now);
+    noteDuration(upstream, sending, elapsed, now);
 }
 
 void upstream_choice::noteRoundTrip(const zone_name &zone, microseconds elapsed)
--- a/tests/relay/upstream_choice_test.cpp
+++ b/tests/relay/upstream_choice_test.cpp
@@ -66,7 +66,7 @@
         std::string id = choose(object);
         if (id.empty())
             return id;
-        const object_knowledge knowledge = choices.started(upstream_id(id), object, now);
+        const sending_record knowledge = choices.started(upstream_id(id), object, now);
         now += elapsed;
         choices.finished(upstream_id(id), knowledge, outcome, elapsed, std::nullopt, now);
         return id;
@@ -85,7 +85,7 @@
         static_cast<void>(choose());
         now += std::chrono::seconds(20);
         for (const upstream_life &life : view.upstreams) {
-            const object_knowledge knowledge = choices.started(life.id, "", now);
+            const sending_record knowledge = choices.started(life.id, "", now);
             choices.finished(life.id, knowledge, sending_outcome::abandoned, milliseconds(1),
                              std::nullopt, now);
         }
@@ -113,6 +113,8 @@
     CPPUNIT_TEST(coldUpstreamGetsAPartOfItsRate);
     CPPUNIT_TEST(requestsWithoutAnObjectDoNotTeachTheTimeOfUnfamiliarOnes);
     CPPUNIT_TEST(fullUpstreamsRefuse);
+    CPPUNIT_TEST(queuesThatMakeEveryoneLateTakeNoMore);
+    CPPUNIT_TEST(paceOfQueuesIsLearned);
     CPPUNIT_TEST(retriesOfAllEntriesStayWithinTheBudget);
     CPPUNIT_TEST_SUITE_END();
 
@@ -157,6 +159,45 @@
         }
     }
 
+    // Guards against an overload in which all requests wait until they are late, and some until
+    // their time is over, so that work is done in vain.
+    void queuesThatMakeEveryoneLateTakeNoMore()
+    {
+        choice_world world;
+        world.tryAll();
+        std::map<std::string, int> sent;
+        for (std::string id = world.choose("a"); !id.empty(); id = world.choose("a")) {
+            static_cast<void>(world.choices.started(upstream_id(id), "a", world.now));
+            ++sent[id];
+        }
+        // 4 slots with 300 ms for each request; the target is 600 ms, of which 1.2 times is waited.
+        for (const auto &[id, requests] : sent)
+            CPPUNIT_ASSERT_MESSAGE(id, requests <= 4 + 10);
+    }
+
+    // Guards against queues that are taken for short because their requests are slow: upstreams
+    // that have forgotten their objects work three times longer.
+    void paceOfQueuesIsLearned()
+    {
+        const auto admitted = [](milliseconds each) {
+            choice_world world;
+            world.tryAll();
+            // Its slots are all busy, so nothing is learned about single requests.
+            for (int i = 0; i < 100; ++i) {
+                const sending_record queued{object_knowledge::familiar, 1};
+                world.choices.finished(upstream_id("home-0"), queued, sending_outcome::answered,
+                                       2 * each, upstream_load{4, 4, 4}, world.now);
+            }
+            int requests = 0;
+            for (std::string id = world.choose("a"); !id.empty(); id = world.choose("a")) {
+                static_cast<void>(world.choices.started(upstream_id(id), "a", world.now));
+                ++requests;
+            }
+            return requests;
+        };
+        CPPUNIT_ASSERT(admitted(milliseconds(900)) < admitted(milliseconds(300)));
+    }
+
     // Guards against paying for bytes between regions without need.
     void homeIsPreferredWhileItHasRoom()
     {
