Use free slots before a request is refused for its object's queue

Seen in a unit test of the queue's pace. Now the cheapest upstream without a queue is taken then. The test fails before.

--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -7,6 +7,7 @@
 #include "kingcuptiller/values/time.h"
 
 #include <cstdint>
+#include <limits>
 #include <list>
 #include <map>
 #include <optional>
@@ -194,6 +195,19 @@
         milliseconds coldTime{0};
     };
 
+    // An upstream that may take a request.
+    struct choice_option
+    {
+        upstream_record *upstream = nullptr;
+        // In milliseconds of waiting that it is worth.
+        double cost = std::numeric_limits<double>::max();
+        double expectedMs = 0;
+        double queuedMs = 0;
+    };
+
+    // Everything but the shift between regions.
+    [[nodiscard]] choice_option assess(upstream_record &upstream, service_record &service,
+                                       const choice_request &request, instant now);
     [[nodiscard]] region_index indexOf(const region_name &region);
     void beginSpread(instant now);
     [[nodiscard]] double shiftPenaltyMs(const service_record &service, const region_name &region,
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -20,9 +20,9 @@
 constexpr double waitingForEachSlot = 3.5;
 // A share of the time left that the expected answer may take.
 constexpr double usableTimeShare = 0.9;
-// A request may wait in a queue for this share of its latency target. Longer queues would make all
+// A request may wait in a queue for so many times its latency target. Longer queues would make all
 // requests late without serving more of them, and those that run out of time cost work in vain.
-constexpr double queueShareOfTarget = 1.2;
+constexpr double longestQueueInTargets = 1.2;
 // A failing upstream costs a repeat, which takes about as long as another try.
 constexpr double failurePenaltyMs = 1'500;
 constexpr double coldFactor = 2;
@@ -52,6 +52,12 @@
     return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+// The longest time that an answer may be expected to take.
+double usableMs(const choice_request &request)
+{
+    return static_cast<double>(request.timeLeft.count()) * usableTimeShare;
+}
+
 } // namespace
 
 upstream_choice::upstream_choice(choice_settings settings)
@@ -257,6 +263,27 @@
     return true;
 }
 
+upstream_choice::choice_option upstream_choice::assess(upstream_record &upstream,
+                                                       service_record &service,
+                                                       const choice_request &request, instant now)
+{
+    choice_option option;
+    option.upstream = &upstream;
+    option.queuedMs = queueMs(upstream, service, now);
+    option.expectedMs =
+        networkMs(upstream) + option.queuedMs + workMs(upstream, service, request.object, now);
+    option.cost = option.expectedMs + placePenaltyMs(upstream)
+        + upstream.failureShare * failurePenaltyMs + (upstream.life.silent ? silencePenaltyMs : 0);
+    if (!request.object.empty()) {
+        const std::size_t rank = service.placement.ranksOf(request.object)[upstream.number];
+        option.cost += std::min(static_cast<double>(rank) * rankMs, mostRankMs);
+    }
+    if (upstream.untried && upstream.region == m_settings.region
+        && option.expectedMs <= usableMs(request))
+        option.cost -= untriedBonusMs;
+    return option;
+}
+
 std::optional<chosen_upstream> upstream_choice::choose(const choice_request &request, instant now,
                                                        no_choice &reason)
 {
@@ -268,51 +295,36 @@
     const bool counted = !request.tried.empty();
     if (!m_firstRequest)
         beginSpread(now);
-    const std::vector<std::size_t> *const ranks =
-        request.object.empty() ? nullptr : &service.placement.ranksOf(request.object);
-    const double longest = static_cast<double>(request.timeLeft.count()) * usableTimeShare;
-    const double longestQueue =
-        static_cast<double>(request.latencyTarget.count()) * queueShareOfTarget;
     std::map<region_name, double> shiftPenalties;
-    upstream_record *best = nullptr;
-    double bestCost = std::numeric_limits<double>::max();
-    double bestExpected = 0;
-    double bestQueued = 0;
+    choice_option best;
+    choice_option bestWithoutQueue;
     for (const upstream_id &id : service.members) {
         upstream_record &upstream = m_upstreams.at(id);
         if (!mayUse(upstream, service, request, now))
             continue;
-        const double queued = queueMs(upstream, service, now);
-        const double expected =
-            networkMs(upstream) + queued + workMs(upstream, service, request.object, now);
-        auto [shift, unknown] = shiftPenalties.try_emplace(upstream.region, 0);
+        choice_option option = assess(upstream, service, request, now);
+        const auto [shift, unknown] = shiftPenalties.try_emplace(upstream.region, 0);
         if (unknown)
             shift->second = shiftPenaltyMs(service, upstream.region, counted, now);
-        const double cost = expected + placePenaltyMs(upstream)
-            + upstream.failureShare * failurePenaltyMs
-            + (upstream.life.silent ? silencePenaltyMs : 0) + shift->second
-            + (ranks == nullptr
-                   ? 0
-                   : std::min(static_cast<double>((*ranks)[upstream.number]) * rankMs, mostRankMs))
-            - (upstream.untried && upstream.region == m_settings.region && expected <= longest
-                   ? untriedBonusMs
-                   : 0);
-        if (cost < bestCost) {
-            best = &upstream;
-            bestCost = cost;
-            bestExpected = expected;
-            bestQueued = queued;
-        }
+        option.cost += shift->second;
+        if (option.cost < best.cost)
+            best = option;
+        if (option.queuedMs <= 0 && option.cost < bestWithoutQueue.cost)
+            bestWithoutQueue = option;
     }
+    // An object that is asked for very often goes elsewhere while slots are free there. To spread
+    // over other queues would only make more upstreams forget their objects.
+    if (best.queuedMs > static_cast<double>(request.latencyTarget.count()) * longestQueueInTargets)
+        best = bestWithoutQueue;
     const flow_source source{service.index, indexOf(m_settings.region)};
-    if (best == nullptr || bestExpected > longest || bestQueued > longestQueue) {
+    if (best.upstream == nullptr || best.expectedMs > usableMs(request)) {
         if (!counted)
             m_shift.refuse(source, now);
         return std::nullopt;
     }
-    m_shift.forward(source, indexOf(best->region), counted, now);
-    return chosen_upstream{best->life, milliseconds(std::llround(bestExpected)),
-                           milliseconds(std::llround(bestQueued))};
+    m_shift.forward(source, indexOf(best.upstream->region), counted, now);
+    return chosen_upstream{best.upstream->life, milliseconds(std::llround(best.expectedMs)),
+                           milliseconds(std::llround(best.queuedMs))};
 }
 
 sending_record upstream_choice::started(const upstream_id &id, const std::string &object,
--- a/tests/relay/upstream_choice_test.cpp
+++ b/tests/relay/upstream_choice_test.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <map>
+#include <set>
 #include <string>
 
 using namespace kingcuptiller;
@@ -114,6 +115,7 @@
     CPPUNIT_TEST(requestsWithoutAnObjectDoNotTeachTheTimeOfUnfamiliarOnes);
     CPPUNIT_TEST(fullUpstreamsRefuse);
     CPPUNIT_TEST(queuesThatMakeEveryoneLateTakeNoMore);
+    CPPUNIT_TEST(objectInDemandIsNotRefusedWhileSlotsAreFree);
     CPPUNIT_TEST(paceOfQueuesIsLearned);
     CPPUNIT_TEST(retriesOfAllEntriesStayWithinTheBudget);
     CPPUNIT_TEST_SUITE_END();
@@ -175,6 +177,19 @@
             CPPUNIT_ASSERT_MESSAGE(id, requests <= 4 + 10);
     }
 
+    // Guards against refusals for one object's sake while slots are free.
+    void objectInDemandIsNotRefusedWhileSlotsAreFree()
+    {
+        choice_world world;
+        world.tryAll();
+        std::set<std::string> used;
+        for (std::string id = world.choose("a"); !id.empty(); id = world.choose("a")) {
+            static_cast<void>(world.choices.started(upstream_id(id), "a", world.now));
+            used.insert(id);
+        }
+        CPPUNIT_ASSERT_EQUAL(world.view.upstreams.size(), used.size());
+    }
+
     // Guards against queues that are taken for short because their requests are slow: upstreams
     // that have forgotten their objects work three times longer.
     void paceOfQueuesIsLearned()
