Serve counters and latency histograms; spread an object only while most upstreams have room

The relay looks each of its counters up once; answers have a histogram for each service; control hosts count calls by result and show whether they lead, are current, and how many entries they feed.

--- a/include/kingcuptiller/node/control_node.h
+++ b/include/kingcuptiller/node/control_node.h
@@ -5,6 +5,7 @@
 #include "kingcuptiller/node/frame_connection.h"
 #include "kingcuptiller/relay/http_types.h"
 #include "kingcuptiller/storage/replica_store.h"
+#include "kingcuptiller/telemetry/counters.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -50,7 +51,8 @@
 public:
     // Opens the data folder and listens. Throws `error` with `port_unavailable` or a code of the
     // data folder.
-    control_node(boost::asio::io_context &context, control_node_options options);
+    control_node(boost::asio::io_context &context, control_node_options options,
+                 counter_registry &counters);
     ~control_node();
     control_node(const control_node &) = delete;
     control_node &operator=(const control_node &) = delete;
@@ -100,6 +102,7 @@
     void scheduleTick();
     void followLeadership();
     void noteEvents();
+    void updateGauges();
     void sendOutgoing();
 
     // control_links.cpp
@@ -125,6 +128,7 @@
 
     boost::asio::io_context &m_context;
     control_node_options m_options;
+    counter_registry &m_counters;
     std::unique_ptr<replica_store> m_store;
     std::unique_ptr<replica> m_replica;
     std::unique_ptr<fleet_control> m_control;
--- a/include/kingcuptiller/node/entry_node.h
+++ b/include/kingcuptiller/node/entry_node.h
@@ -59,6 +59,8 @@
     node_settings m_settings;
     entry_platform m_platform;
     request_relay m_relay;
+    counter &m_viewCommands;
+    counter &m_upstreams;
     fleet_view m_view;
     std::unique_ptr<traffic_server> m_server;
     boost::asio::steady_timer m_tick;
--- a/include/kingcuptiller/relay/request_relay.h
+++ b/include/kingcuptiller/relay/request_relay.h
@@ -2,6 +2,7 @@
 
 #include "kingcuptiller/fleet/fleet_view.h"
 #include "kingcuptiller/fleet/traffic_configuration.h"
+#include "kingcuptiller/relay/request_metrics.h"
 #include "kingcuptiller/relay/shared_retry_budget.h"
 #include "kingcuptiller/relay/traffic_server.h"
 #include "kingcuptiller/relay/upstream_choice.h"
@@ -81,11 +82,13 @@
     [[nodiscard]] const service_name &partOf(const traffic_route &route);
     void noteLoad(const chosen_upstream &upstream, const sending_result &result,
                   sending_outcome outcome, const sending_record &sending, instant sent);
-    void logEnd(const journey &trip, std::string_view outcome, std::string_view reason) const;
+    void noteEnd(const journey &trip, std::string_view outcome, std::string_view reason);
 
     boost::asio::io_context &m_context;
     relay_options m_options;
-    counter_registry &m_counters;
+    counter &m_withoutRoute;
+    counter &m_connectionsOpened;
+    request_metrics m_metrics;
     upstream_choice m_choice;
     shared_retry_budget m_budget;
     upstream_connections m_connections;
--- a/include/kingcuptiller/settings/node_settings.h
+++ b/include/kingcuptiller/settings/node_settings.h
@@ -27,6 +27,8 @@
     std::optional<endpoint_address> ready;
     std::optional<endpoint_address> control;
     std::optional<endpoint_address> directory;
+    // Counters and latency histograms as text.
+    std::optional<endpoint_address> metrics;
     // Control hosts listen here for each other and for entries; the same on all hosts.
     unsigned short internalPort = 0;
 
--- a/src/node/control_calls.cpp
+++ b/src/node/control_calls.cpp
@@ -33,7 +33,12 @@
     error_code ignored;
     if (!state->answer)
         co_await state->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    co_return state->answer.value_or(call_answer{});
+    call_answer answer = state->answer.value_or(call_answer{});
+    m_counters
+        .get("kct_control_calls",
+             {{"operation", text.operation}, {"code", std::string(name(answer.code))}})
+        .add();
+    co_return answer;
 }
 
 void control_node::answerHere(const call_text &text, const call_reply &done)
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -16,9 +16,11 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-control_node::control_node(asio::io_context &context, control_node_options options)
+control_node::control_node(asio::io_context &context, control_node_options options,
+                           counter_registry &counters)
     : m_context(context)
     , m_options(std::move(options))
+    , m_counters(counters)
     , m_acceptor(
           openListener(context, {asio::ip::make_address(m_options.host.text()), m_options.port}))
     , m_tick(context)
@@ -84,10 +86,21 @@
         if (problem)
             return;
         round();
+        updateGauges();
         scheduleTick();
     });
 }
 
+void control_node::updateGauges()
+{
+    m_counters.get("kct_control_leading").set(m_control->isLeading() ? 1 : 0);
+    m_counters.get("kct_control_current").set(m_current ? 1 : 0);
+    m_counters.get("kct_control_commands").set(m_control->state().commands());
+    m_counters.get("kct_control_upstreams").set(m_control->state().upstreams().size());
+    m_counters.get("kct_control_entries").set(m_control->state().entries().size());
+    m_counters.get("kct_control_entry_connections").set(m_entries.size());
+}
+
 void control_node::scheduleRound()
 {
     if (std::exchange(m_roundScheduled, true))
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -118,6 +118,8 @@
     , m_settings(settings)
     , m_platform(std::move(platform))
     , m_relay(context, relayOptions(settings, m_platform), counters)
+    , m_viewCommands(counters.get("kct_entry_view_commands"))
+    , m_upstreams(counters.get("kct_entry_upstreams"))
     , m_tick(context)
     , m_leavingTimer(context)
 {
@@ -149,6 +151,8 @@
     m_view = view;
     m_view.document.clear();
     m_relay.update(view, configuration);
+    m_viewCommands.set(view.commands);
+    m_upstreams.set(view.upstreams.size());
     if (configuration)
         log_line(log_level::info, "entry", "configuration_applied")
             .field("version", configuration->version.number())
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -59,7 +59,9 @@
                              counter_registry &counters)
     : m_context(context)
     , m_options(std::move(options))
-    , m_counters(counters)
+    , m_withoutRoute(counters.get("kct_relay_requests_without_route"))
+    , m_connectionsOpened(counters.get("kct_relay_connections_opened"))
+    , m_metrics(counters)
     , m_choice(m_options.choice)
     , m_budget(m_options.retries)
 {
@@ -125,7 +127,7 @@
     const traffic_route *const route =
         routes->find(view(request[http::field::host]), target.substr(0, target.find('?')));
     if (route == nullptr) {
-        m_counters.get("kct_relay_requests", {{"outcome", "no_route"}}).add();
+        m_withoutRoute.add();
         co_return ownAnswer(http::status::not_found, "no route matches\n");
     }
     const auto allowed = numberIn(view(request[m_options.headers.timeLeft]));
@@ -193,7 +195,7 @@
         .field("outcome", static_cast<int>(outcome));
     switch (outcome) {
     case sending_outcome::answered:
-        logEnd(trip, "answered", "");
+        noteEnd(trip, "answered", "");
         co_return handedOn(result.answer);
     case sending_outcome::failed:
         if (trip.route.idempotent && trip.tried.size() < trip.route.maximumAttempts) {
@@ -201,7 +203,7 @@
             trip.failure = handedOn(result.answer);
             co_return std::nullopt;
         }
-        logEnd(trip, "failed", "upstream_failed");
+        noteEnd(trip, "failed", "upstream_failed");
         co_return handedOn(result.answer);
     case sending_outcome::unreachable:
     case sending_outcome::shed:
@@ -242,7 +244,7 @@
                                      std::min(left, m_options.connectLimit)))
             co_return nothingSent;
         m_choice.noteRoundTrip(upstream.life.zone, m_options.now() - began);
-        m_counters.get("kct_relay_connections_opened").add();
+        m_connectionsOpened.add();
     }
     const auto left = std::chrono::duration_cast<milliseconds>(trip.due - m_options.now());
     if (trip.client.hasLeft() || left <= shortestSending)
@@ -334,7 +336,7 @@
 relay_response request_relay::refusal(journey &trip, std::string_view reason,
                                       milliseconds retryAfter)
 {
-    logEnd(trip, "refused", reason);
+    noteEnd(trip, "refused", reason);
     relay_response answer =
         ownAnswer(http::status::service_unavailable, fmt::format("not run: {}\n", reason));
     if (retryAfter > milliseconds(0))
@@ -345,7 +347,7 @@
 
 relay_response request_relay::openEnd(journey &trip, std::string_view reason)
 {
-    logEnd(trip, "open_end", reason);
+    noteEnd(trip, "open_end", reason);
     if (trip.failure)
         return std::move(*trip.failure);
     return ownAnswer(reason == "time_over" ? http::status::gateway_timeout
@@ -353,15 +355,10 @@
                      fmt::format("the outcome is not known: {}\n", reason));
 }
 
-void request_relay::logEnd(const journey &trip, std::string_view outcome,
-                           std::string_view reason) const
+void request_relay::noteEnd(const journey &trip, std::string_view outcome, std::string_view reason)
 {
-    m_counters
-        .get("kct_relay_requests",
-             {{"outcome", std::string(outcome)}, {"reason", std::string(reason)}})
-        .add();
-    const auto elapsed =
-        std::chrono::duration_cast<milliseconds>(m_options.now() - trip.arrived).count();
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(m_options.now() - trip.arrived);
+    m_metrics.ended(trip.service, outcome, reason, elapsed);
     log_line line(log_level::info, "relay", "request_ended");
     line.field("request", view(trip.request[m_options.headers.requestId]))
         .field("route", trip.route.name)
@@ -371,7 +368,7 @@
         .field("outcome", outcome)
         .field("reason", reason)
         .field("sendings", static_cast<std::uint64_t>(trip.tried.size()))
-        .field("elapsed_ms", std::int64_t(elapsed));
+        .field("elapsed_ms", std::int64_t(elapsed.count()));
     if (trip.last)
         line.field("last_tried", trip.last->upstream.life.id.text())
             .field("familiar", trip.last->knowledge == object_knowledge::familiar ? 1 : 0)
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -23,6 +23,9 @@
 // A request may wait in a queue for so many times its latency target. Longer queues would make all
 // requests late without serving more of them, and those that run out of time cost work in vain.
 constexpr double longestQueueInTargets = 1.2;
+// A request leaves its object's upstreams for free slots when this share of the service's upstreams
+// has no queue.
+constexpr double roomToSpread = 0.75;
 // A failing upstream costs a repeat, which takes about as long as another try.
 constexpr double failurePenaltyMs = 1'500;
 constexpr double coldFactor = 2;
@@ -318,10 +321,14 @@
         if (option.cost < bestWithoutQueue.cost)
             bestWithoutQueue = option;
     }
-    // An object that is asked for very often goes elsewhere while slots are free there. To spread
-    // over other queues would only make more upstreams forget their objects.
-    if (best.queuedMs > static_cast<double>(request.latencyTarget.count()) * longestQueueInTargets)
-        best = bestWithoutQueue;
+    // An object that is asked for very often goes elsewhere while most upstreams have room. When
+    // the whole service is short, spreading only makes more upstreams forget their objects.
+    if (best.queuedMs
+        > static_cast<double>(request.latencyTarget.count()) * longestQueueInTargets) {
+        const bool mostHaveRoom =
+            static_cast<double>(withoutQueue) >= static_cast<double>(usable) * roomToSpread;
+        best = mostHaveRoom ? bestWithoutQueue : choice_option{};
+    }
     const flow_source source{service.index, indexOf(m_settings.region)};
     if (best.upstream == nullptr || best.expectedMs > usableMs(request)) {
         if (!counted)
--- a/src/settings/node_settings.cpp
+++ b/src/settings/node_settings.cpp
@@ -105,6 +105,7 @@
     settings.ready = optionalEndpoint(reader, "ready");
     settings.control = optionalEndpoint(reader, "control");
     settings.directory = optionalEndpoint(reader, "directory");
+    settings.metrics = optionalEndpoint(reader, "metrics");
     settings.internalPort =
         static_cast<unsigned short>(reader.number("listen", "internal_port", 0, {1, 65'535}));
     settings.seeds = seedsIn(reader);
