Let connections in vain use no attempt, and end them sooner

Nothing was sent, so nothing counts against maxAttempts or the budget. A connection now has four round trips and 200 ms.

The test fails before the change.

--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -106,6 +106,8 @@
     milliseconds expected{0};
     // The part of it that the request waits for others.
     milliseconds queued{0};
+    // The way there and back.
+    milliseconds roundTrip{0};
 };
 
 // Why no upstream was chosen, and when one may be free.
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -21,6 +21,12 @@
 // Shorter than this, no upstream can answer, and the sending would only cost it work.
 constexpr milliseconds shortestSending{5};
 constexpr milliseconds retryAfterNoUpstream{500};
+// Connections that one request may try in vain.
+constexpr std::uint32_t mostUnreachable = 4;
+// A connection is given up after so many round trips and a reserve for a busy upstream; a lost
+// opening packet is sent again after a second only, when another upstream is the better way.
+constexpr int connectRoundTrips = 4;
+constexpr milliseconds connectReserve{200};
 
 using internal::eraseConnectionHeaders;
 using internal::loadIn;
@@ -53,6 +59,9 @@
     // The answer of an upstream that failed an idempotent request.
     std::optional<relay_response> failure;
     std::optional<last_sending> last;
+    // Upstreams that got the request, and those to which there was no connection.
+    std::uint32_t sent = 0;
+    std::uint32_t unreachable = 0;
 };
 
 request_relay::request_relay(asio::io_context &context, relay_options options,
@@ -144,14 +153,16 @@
                  {},
                  false,
                  std::nullopt,
-                 std::nullopt};
+                 std::nullopt,
+                 0,
+                 0};
     m_budget.request(trip.service, now);
     co_return co_await carry(trip);
 }
 
 asio::awaitable<relay_response> request_relay::carry(journey &trip)
 {
-    for (std::uint32_t sent = 0;; ++sent) {
+    for (;;) {
         const instant now = m_options.now();
         const auto left = std::chrono::duration_cast<milliseconds>(trip.due - now);
         if (trip.client.hasLeft())
@@ -159,7 +170,9 @@
         if (left <= shortestSending)
             co_return trip.mayHaveRun ? openEnd(trip, "time_over")
                                       : refusal(trip, "time_over", milliseconds(0));
-        if (sent > 0 && (sent >= trip.route.maximumAttempts || !m_budget.spend(trip.service, now)))
+        if (trip.unreachable >= mostUnreachable
+            || (trip.sent > 0
+                && (trip.sent >= trip.route.maximumAttempts || !m_budget.spend(trip.service, now))))
             co_return trip.mayHaveRun ? openEnd(trip, "attempts_used")
                                       : refusal(trip, "attempts_used", retryAfterNoUpstream);
         no_choice reason;
@@ -180,6 +193,7 @@
 request_relay::attempt(journey &trip, const chosen_upstream &upstream)
 {
     const instant sent = m_options.now();
+    ++trip.sent;
     const sending_record sending = m_choice.started(upstream.life.id, trip.object, sent);
     sending_result result = co_await sendTo(trip, upstream);
     const sending_outcome outcome =
@@ -198,7 +212,7 @@
         noteEnd(trip, "answered", "");
         co_return handedOn(result.answer);
     case sending_outcome::failed:
-        if (trip.route.idempotent && trip.tried.size() < trip.route.maximumAttempts) {
+        if (trip.route.idempotent && trip.sent < trip.route.maximumAttempts) {
             trip.mayHaveRun = true;
             trip.failure = handedOn(result.answer);
             co_return std::nullopt;
@@ -206,6 +220,10 @@
         noteEnd(trip, "failed", "upstream_failed");
         co_return handedOn(result.answer);
     case sending_outcome::unreachable:
+        // Nothing was sent, so it counts neither as an attempt nor as a repeat.
+        --trip.sent;
+        ++trip.unreachable;
+        co_return std::nullopt;
     case sending_outcome::shed:
     case sending_outcome::replaced:
         co_return std::nullopt;
@@ -240,8 +258,10 @@
             co_return nothingSent;
         }
         const auto left = std::chrono::duration_cast<milliseconds>(trip.due - began);
-        if (!co_await openConnection(m_context, connection, endpoint,
-                                     std::min(left, m_options.connectLimit)))
+        const milliseconds patience = std::min(
+            m_options.connectLimit, connectRoundTrips * upstream.roundTrip + connectReserve);
+        const milliseconds limit = std::min(left, patience);
+        if (!co_await openConnection(m_context, connection, endpoint, limit))
             co_return nothingSent;
         m_choice.noteRoundTrip(upstream.life.zone, m_options.now() - began);
         m_connectionsOpened.add();
@@ -367,7 +387,8 @@
         .field("object", trip.object)
         .field("outcome", outcome)
         .field("reason", reason)
-        .field("sendings", static_cast<std::uint64_t>(trip.tried.size()))
+        .field("sendings", std::uint64_t(trip.sent))
+        .field("unreachable", std::uint64_t(trip.unreachable))
         .field("elapsed_ms", std::int64_t(elapsed.count()));
     if (trip.last)
         line.field("last_tried", trip.last->upstream.life.id.text())
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -337,7 +337,8 @@
     }
     m_shift.forward(source, indexOf(best.upstream->region), counted, now);
     return chosen_upstream{best.upstream->life, milliseconds(std::llround(best.expectedMs)),
-                           milliseconds(std::llround(best.queuedMs))};
+                           milliseconds(std::llround(best.queuedMs)),
+                           milliseconds(std::llround(networkMs(*best.upstream)))};
 }
 
 sending_record upstream_choice::started(const upstream_id &id, const std::string &object,
--- a/tests/relay/request_relay_test.cpp
+++ b/tests/relay/request_relay_test.cpp
@@ -1,5 +1,6 @@
 #include "kingcuptiller/relay/request_relay.h"
 
+#include "kingcuptiller/transport/free_port.h"
 #include "kingcuptiller/transport/system_clock.h"
 #include "tests/support/scripted_server.h"
 
@@ -29,6 +30,13 @@
 {
 public:
     explicit relay_world(std::uint16_t upstreamPort, std::uint64_t bodyLimit = 1'000)
+        : relay_world(std::vector<std::uint16_t>{upstreamPort}, bodyLimit)
+    {
+    }
+
+    // The first upstreams are asked first.
+    explicit relay_world(const std::vector<std::uint16_t> &upstreamPorts,
+                         std::uint64_t bodyLimit = 1'000, std::uint32_t attempts = 2)
         : m_work(asio::make_work_guard(m_context))
         , m_relay(m_context, options(), m_counters)
         , m_server(
@@ -50,17 +58,19 @@
             route.idempotent = idempotent;
             route.timeout = milliseconds(5'000);
             route.parts = {{service_name("s"), 1}};
-            route.maximumAttempts = 2;
+            route.maximumAttempts = attempts;
             configuration.routes.push_back(route);
         }
         fleet_view view;
-        upstream_life life;
-        life.id = upstream_id("u");
-        life.address = endpoint_address("127.0.0.1:" + std::to_string(upstreamPort));
-        life.service = service_name("s");
-        life.zone = zone_name("a");
-        life.slots = 4;
-        view.upstreams = {life};
+        for (const std::uint16_t port : upstreamPorts) {
+            upstream_life life;
+            life.id = upstream_id("u" + std::string(view.upstreams.size(), 'x'));
+            life.address = endpoint_address("127.0.0.1:" + std::to_string(port));
+            life.service = service_name("s");
+            life.zone = zone_name("a");
+            life.slots = 4;
+            view.upstreams.push_back(life);
+        }
         m_relay.update(view, configuration);
         m_thread = std::thread([this] { m_context.run(); });
     }
@@ -142,6 +152,7 @@
     CPPUNIT_TEST(bytesAfterAnAnswerEndTheUseOfItsConnection);
     CPPUNIT_TEST(completeAnswersKeepTheirConnection);
     CPPUNIT_TEST(unreachableUpstreamProvesThatNothingRan);
+    CPPUNIT_TEST(upstreamsWithoutConnectionUseNoAttempt);
     CPPUNIT_TEST(requestIsForwardedUnchangedButForItsOwnHeaders);
     CPPUNIT_TEST(bodyAboveTheLimitIsRefusedUnread);
     CPPUNIT_TEST(malformedRequestsAreRefused);
@@ -149,6 +160,17 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against refusals while other upstreams are there: a lost zone leaves upstreams that
+    // accept no connection, and nothing was sent to them that could count as an attempt.
+    void upstreamsWithoutConnectionUseNoAttempt()
+    {
+        scripted_server upstream([](int, const std::string &) { return sealed; });
+        relay_world world({findFreePort(), findFreePort(), upstream.port()}, 1'000, 1);
+        for (const char *route : {"writes", "reads"})
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(route, std::string("200"),
+                                         statusOf(world.ask(world.request(route))));
+    }
+
     // Guards against a request that runs twice, a refusal that is not true, and a success that is
     // not the upstream's whole answer to this request.
     void clientsAreToldTheTruth()
