--- a/include/kingcuptiller/relay/request_metrics.h
+++ b/include/kingcuptiller/relay/request_metrics.h
@@ -5,10 +5,10 @@
 #include "kingcuptiller/values/identifiers.h"
 #include "kingcuptiller/values/time.h"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
-#include <tuple>
 
 namespace kingcuptiller {
 
@@ -27,11 +27,16 @@
                milliseconds elapsed);
 
 private:
-    using ending = std::tuple<service_name, std::string, std::string>;
+    // By reason, for one outcome.
+    using reason_counters = std::map<std::string, counter *, std::less<>>;
+    struct service_metrics
+    {
+        latency_histogram answers;
+        std::map<std::string, reason_counters, std::less<>> endings;
+    };
 
     counter_registry &m_registry;
-    std::map<ending, counter *, std::less<>> m_endings;
-    std::map<service_name, latency_histogram> m_answers;
+    std::map<service_name, service_metrics> m_services;
 };
 
 } // namespace kingcuptiller
--- a/src/relay/request_metrics.cpp
+++ b/src/relay/request_metrics.cpp
@@ -5,23 +5,27 @@
 void request_metrics::ended(const service_name &service, std::string_view outcome,
                             std::string_view reason, milliseconds elapsed)
 {
-    const auto known = m_endings.find(std::tuple(std::cref(service), outcome, reason));
-    if (known != m_endings.end()) {
-        known->second->add();
-    } else {
+    auto known = m_services.find(service);
+    if (known == m_services.end()) {
+        const latency_histogram answers(m_registry, "kct_relay_answer",
+                                        {{"service", service.text()}});
+        known = m_services.emplace(service, service_metrics{answers, {}}).first;
+    }
+    service_metrics &metrics = known->second;
+    auto reasons = metrics.endings.find(outcome);
+    if (reasons == metrics.endings.end())
+        reasons = metrics.endings.emplace(outcome, reason_counters()).first;
+    auto requests = reasons->second.find(reason);
+    if (requests == reasons->second.end()) {
         counter &made = m_registry.get("kct_relay_requests",
                                        {{"service", service.text()},
                                         {"outcome", std::string(outcome)},
                                         {"reason", std::string(reason)}});
-        made.add();
-        m_endings.emplace(ending(service, outcome, reason), &made);
+        requests = reasons->second.emplace(reason, &made).first;
     }
-    if (outcome != "answered")
-        return;
-    m_answers
-        .try_emplace(service, m_registry, "kct_relay_answer",
-                     counter_labels{{"service", service.text()}})
-        .first->second.record(elapsed);
+    requests->second->add();
+    if (outcome == "answered")
+        metrics.answers.record(elapsed);
 }
 
 } // namespace kingcuptiller
