--- a/include/kingcuptiller/relay/client_stream.h
+++ b/include/kingcuptiller/relay/client_stream.h
@@ -28,6 +28,7 @@
             m_secure = std::make_unique<secure_stream>(m_plain, *tls);
     }
 
+    // NOLINTNEXTLINE(readability-identifier-naming): the name is that which boost::beast looks for
     [[nodiscard]] executor_type get_executor() noexcept { return m_plain.get_executor(); }
     [[nodiscard]] boost::asio::ip::tcp::socket &socket() { return m_plain.socket(); }
     [[nodiscard]] bool isSecure() const { return m_secure != nullptr; }
--- a/tests/relay/object_placement_test.cpp
+++ b/tests/relay/object_placement_test.cpp
@@ -17,6 +17,7 @@
                                               nearness distance = nearness::same_zone)
 {
     std::vector<object_placement::member> result;
+    result.reserve(names.size());
     for (const std::string &name : names)
         result.push_back({upstream_id(name), distance});
     return result;
@@ -88,6 +89,7 @@
         object_placement placement;
         placement.setMembers(before);
         std::vector<std::string> firsts;
+        firsts.reserve(objectCount);
         for (std::size_t object = 0; object < objectCount; ++object)
             firsts.push_back(firstFor(placement, before, object));
         placement.setMembers(after);
