--- a/tests/relay/request_metrics_test.cpp
+++ b/tests/relay/request_metrics_test.cpp
@@ -34,7 +34,8 @@
             "kct_relay_answer_ms_sum{service=\"a\"} 440\n",
         };
         for (const std::string &line : lines)
-            CPPUNIT_ASSERT_MESSAGE(line + "in\n" + text, text.find(line) != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(std::string(line).append("in\n").append(text),
+                                   text.find(line) != std::string::npos);
     }
 };
 
--- a/tests/telemetry/latency_histogram_test.cpp
+++ b/tests/telemetry/latency_histogram_test.cpp
@@ -41,7 +41,7 @@
             {"answer_ms_sum{service=\"s\"} 9721\n"},
         };
         for (const bucket_case &each : cases)
-            CPPUNIT_ASSERT_MESSAGE(each.line + "in\n" + text,
+            CPPUNIT_ASSERT_MESSAGE(std::string(each.line).append("in\n").append(text),
                                    text.find(each.line) != std::string::npos);
     }
 };
