Count a sending once its outcome is known

The relay counted each sending before it was made and took it back when there was no connection. It counts after the outcome now; nothing reads the count in between, so behaviour is the same.

--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -193,13 +193,14 @@
 request_relay::attempt(journey &trip, const chosen_upstream &upstream)
 {
     const instant sent = m_options.now();
-    ++trip.sent;
     const sending_record sending = m_choice.started(upstream.life.id, trip.object, sent);
     sending_result result = co_await sendTo(trip, upstream);
     const sending_outcome outcome =
         trip.client.hasLeft() && result.kind != sending_result::end::answered
         ? sending_outcome::abandoned
         : judge(result);
+    // Without a connection nothing was sent, which counts neither as an attempt nor as a repeat.
+    ++(outcome == sending_outcome::unreachable ? trip.unreachable : trip.sent);
     noteLoad(upstream, result, outcome, sending, sent);
     trip.last = {upstream, sending.knowledge,
                  std::chrono::duration_cast<milliseconds>(m_options.now() - sent)};
@@ -220,10 +221,6 @@
         noteEnd(trip, "failed", "upstream_failed");
         co_return handedOn(result.answer);
     case sending_outcome::unreachable:
-        // Nothing was sent, so it counts neither as an attempt nor as a repeat.
-        --trip.sent;
-        ++trip.unreachable;
-        co_return std::nullopt;
     case sending_outcome::shed:
     case sending_outcome::replaced:
         co_return std::nullopt;
