--- /dev/null
+++ b/include/kingcuptiller/relay/region_flows.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "kingcuptiller/telemetry/counters.h"
+#include "kingcuptiller/values/identifiers.h"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace kingcuptiller {
+
+// Requests of one service that one entry sent to one region, or refused, since the last report.
+struct region_flow
+{
+    service_name service;
+    region_name region;
+    // Requests sent for the first time.
+    std::uint64_t first = 0;
+    // Requests sent once more.
+    std::uint64_t repeated = 0;
+    // First sendings that went beyond the cap on traffic shifts.
+    std::uint64_t beyondCap = 0;
+
+    auto operator<=>(const region_flow &) const = default;
+};
+
+// Counts where an entry sends its requests: kct_relay_sendings by service and region, and the flows
+// of each interval for the log line region_flows. One thread owns it.
+class region_flows
+{
+public:
+    explicit region_flows(counter_registry &registry)
+        : m_registry(registry)
+    {
+    }
+
+    // A request is being sent; `repeated` says that it had been sent before.
+    void sent(const service_name &service, const region_name &region, bool repeated,
+              bool beyondCap);
+
+    // What was counted since the last call, by service and region.
+    [[nodiscard]] std::vector<region_flow> take();
+
+private:
+    struct flow_record
+    {
+        region_flow present;
+        counter *sendings = nullptr;
+    };
+
+    counter_registry &m_registry;
+    std::map<service_name, std::map<region_name, flow_record>> m_flows;
+};
+
+} // namespace kingcuptiller
--- a/include/kingcuptiller/relay/request_relay.h
+++ b/include/kingcuptiller/relay/request_relay.h
@@ -2,6 +2,7 @@
 
 #include "kingcuptiller/fleet/fleet_view.h"
 #include "kingcuptiller/fleet/traffic_configuration.h"
+#include "kingcuptiller/relay/region_flows.h"
 #include "kingcuptiller/relay/request_metrics.h"
 #include "kingcuptiller/relay/shared_retry_budget.h"
 #include "kingcuptiller/relay/traffic_server.h"
@@ -59,7 +60,7 @@
     [[nodiscard]] client_limits limits() const;
     // A configuration is known, so that requests can be carried.
     [[nodiscard]] bool ready() const { return m_routes != nullptr; }
-    // Closes idle connections; call it about once a second.
+    // Closes idle connections and logs where requests went; call it about once a second.
     void tick();
 
 private:
@@ -89,6 +90,7 @@
     counter &m_withoutRoute;
     counter &m_connectionsOpened;
     request_metrics m_metrics;
+    region_flows m_flows;
     upstream_choice m_choice;
     shared_retry_budget m_budget;
     upstream_connections m_connections;
--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -103,6 +103,9 @@
 struct chosen_upstream
 {
     upstream_life life;
+    region_name region;
+    // It goes beyond the cap on traffic shifts.
+    bool beyondCap = false;
     milliseconds expected{0};
     // The part of it that the request waits for others.
     milliseconds queued{0};
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -71,6 +71,7 @@
     , m_withoutRoute(counters.get("kct_relay_requests_without_route"))
     , m_connectionsOpened(counters.get("kct_relay_connections_opened"))
     , m_metrics(counters)
+    , m_flows(counters)
     , m_choice(m_options.choice)
     , m_budget(m_options.retries)
 {
@@ -97,6 +98,14 @@
 void request_relay::tick()
 {
     m_connections.closeIdle(m_options.now());
+    for (const region_flow &flow : m_flows.take()) {
+        log_line(log_level::info, "relay", "region_flows")
+            .field("service", flow.service.text())
+            .field("region", flow.region.text())
+            .field("first", flow.first)
+            .field("repeated", flow.repeated)
+            .field("beyond_cap", flow.beyondCap);
+    }
 }
 
 const service_name &request_relay::partOf(const traffic_route &route)
@@ -194,6 +203,7 @@
 {
     const instant sent = m_options.now();
     const sending_record sending = m_choice.started(upstream.life.id, trip.object, sent);
+    m_flows.sent(trip.service, upstream.region, trip.sent > 0, upstream.beyondCap);
     sending_result result = co_await sendTo(trip, upstream);
     const sending_outcome outcome =
         trip.client.hasLeft() && result.kind != sending_result::end::answered
@@ -389,6 +399,7 @@
         .field("elapsed_ms", std::int64_t(elapsed.count()));
     if (trip.last)
         line.field("last_tried", trip.last->upstream.life.id.text())
+            .field("region", trip.last->upstream.region.text())
             .field("familiar", trip.last->knowledge == object_knowledge::familiar ? 1 : 0)
             .field("expected_ms", std::int64_t(trip.last->upstream.expected.count()))
             .field("queue_ms", std::int64_t(trip.last->upstream.queued.count()))
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -335,8 +335,13 @@
             m_shift.refuse(source, now);
         return std::nullopt;
     }
-    m_shift.forward(source, indexOf(best.upstream->region), counted, now);
-    return chosen_upstream{best.upstream->life, milliseconds(std::llround(best.expectedMs)),
+    const region_index destination = indexOf(best.upstream->region);
+    const bool withinCap = m_shift.mayForward(source, destination, shiftRank, counted, now);
+    m_shift.forward(source, destination, counted, now);
+    return chosen_upstream{best.upstream->life,
+                           best.upstream->region,
+                           !withinCap,
+                           milliseconds(std::llround(best.expectedMs)),
                            milliseconds(std::llround(best.queuedMs)),
                            milliseconds(std::llround(networkMs(*best.upstream)))};
 }
