Bound the shift between regions by shares that follow the wish no faster than the cap

Cause: the cap was a cost among others. Every upstream of the own region that an entry has not used yet outbid it, so the first second went home against the slots; what went beyond the cap became the reference of the next second; after eight seconds it was lifted. The small region filled, half of its requests ran into their timeouts, and most left in the next two seconds. Class of fault: a limit in the form of a preference, with a reference taken from what broke it.

Ruled out: entries that disagree (region_flows shows each one beyond its own cap).

Change: region_shares in relay gives each region a share; the shares follow the best regions by at most two thirds of the cap in a window, a region takes no more than its share, and requests that lose least by it leave a region first.

--- a/include/kingcuptiller/relay/region_flows.h
+++ b/include/kingcuptiller/relay/region_flows.h
@@ -19,8 +19,6 @@
     std::uint64_t first = 0;
     // Requests sent once more.
     std::uint64_t repeated = 0;
-    // First sendings that went beyond the cap on traffic shifts.
-    std::uint64_t beyondCap = 0;
 
     auto operator<=>(const region_flow &) const = default;
 };
@@ -36,8 +34,7 @@
     }
 
     // A request is being sent; `repeated` says that it had been sent before.
-    void sent(const service_name &service, const region_name &region, bool repeated,
-              bool beyondCap);
+    void sent(const service_name &service, const region_name &region, bool repeated);
 
     // What was counted since the last call, by service and region.
     [[nodiscard]] std::vector<region_flow> take();
--- /dev/null
+++ b/include/kingcuptiller/relay/region_shares.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "kingcuptiller/values/identifiers.h"
+#include "kingcuptiller/values/time.h"
+
+#include <compare>
+#include <cstddef>
+#include <map>
+#include <string>
+
+namespace kingcuptiller {
+
+// How fast the requests of one region may move to other regions.
+struct shift_cap
+{
+    // The most of them, above 0 and at most 1, that may change their region from one window to the
+    // next.
+    double largestShare = 0.15;
+    milliseconds window{2'000};
+
+    auto operator<=>(const shift_cap &) const = default;
+};
+
+// What a region has for one service: slots of upstreams, and entries that send requests.
+struct region_capacity
+{
+    double slots = 0;
+    double entries = 0;
+
+    auto operator<=>(const region_capacity &) const = default;
+};
+
+using region_weights = std::map<region_name, double>;
+
+// The shares with which a region's requests begin, so that no region gets more than its slots can
+// carry if all entries get the same traffic: home takes what it can, and what is left goes where
+// other entries leave slots free. The shares sum to 1.
+[[nodiscard]] region_weights initialShares(const region_name &home,
+                                           const std::map<region_name, region_capacity> &regions);
+
+// Bounds in which regions the requests of one service run at one entry. Each region has a share of
+// the requests. The shares follow where the requests would best go, but no faster than the cap; a
+// request may go to a region only while that got no more than its share, with a small tolerance.
+// The cap therefore holds for each entry, and for all entries of a region together, without any
+// exchange between them.
+//
+// A region that loses upstreams loses its share in proportion at once: the cap bounds decisions,
+// and requests that lost their place are not held back by it.
+//
+//     shares.begin(initialShares(home, regions), now);
+//     shares.setSlots(usableSlots);
+//     if (shares.mayTake(region)) { shares.decided(preferred, region, now); ... }
+//
+// One thread owns it.
+class region_shares
+{
+public:
+    explicit region_shares(shift_cap cap)
+        : m_cap(cap)
+    {
+    }
+
+    [[nodiscard]] bool hasBegun() const { return !m_regions.empty(); }
+    void begin(const region_weights &shares, instant now);
+
+    // The usable slots of all regions; regions that are not named have none.
+    void setSlots(const region_weights &slots);
+
+    [[nodiscard]] bool mayTake(const region_name &region) const;
+    // How far a region is beyond its share: 0 up to its share, 1 where it may take no more.
+    [[nodiscard]] double pressure(const region_name &region) const;
+
+    // A request would best go to `preferred` and goes to `taken`.
+    void decided(const region_name &preferred, const region_name &taken, instant now);
+    // A request was refused; it counts where it is due.
+    void refused(instant now);
+    // A request that was counted for `region` has not been served there and is decided on again.
+    void withdrawn(const region_name &region);
+
+    [[nodiscard]] double shareOf(const region_name &region) const;
+
+private:
+    struct region_record
+    {
+        double share = 0;
+        // What the requests' best regions were lately, as a share.
+        double preference = 0;
+        // Requests that the region should have got and did not get; negative when it got more.
+        double due = 0;
+        double slots = 0;
+    };
+
+    void advance(instant now);
+    void moveTowardsPreference(double seconds);
+    [[nodiscard]] double tolerance() const;
+
+    shift_cap m_cap;
+    std::map<region_name, region_record> m_regions;
+    instant m_last;
+    // Requests in about the last window.
+    double m_recent = 0;
+};
+
+} // namespace kingcuptiller
--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -3,7 +3,7 @@
 #include "kingcuptiller/fleet/fleet_view.h"
 #include "kingcuptiller/fleet/traffic_configuration.h"
 #include "kingcuptiller/relay/object_placement.h"
-#include "kingcuptiller/steering/shift_limiter.h"
+#include "kingcuptiller/relay/region_shares.h"
 #include "kingcuptiller/values/time.h"
 
 #include <cstdint>
@@ -77,9 +77,8 @@
     milliseconds otherRegionPenalty{60};
     // Assumed way to another region and back until a connection there has been measured.
     milliseconds otherRegionRoundTrip{110};
-    // The most of a region's requests that may run in another region than in the second before,
-    // while the traffic begins.
-    double shiftShare = 0.06;
+    // How fast this region's requests may move to other regions.
+    shift_cap shift;
     // Objects that an upstream is taken to remember.
     std::size_t rememberedObjects = 24;
 
@@ -98,14 +97,14 @@
     milliseconds timeLeft{1000};
     // Where this request has been sent before.
     std::set<upstream_id> tried;
+    // The region to which it was sent last, when that did not serve it.
+    std::optional<region_name> formerRegion = std::nullopt;
 };
 
 struct chosen_upstream
 {
     upstream_life life;
     region_name region;
-    // It goes beyond the cap on traffic shifts.
-    bool beyondCap = false;
     milliseconds expected{0};
     // The part of it that the request waits for others.
     milliseconds queued{0};
@@ -118,6 +117,8 @@
 {
     // There is no usable upstream at all, or all are busy for too long.
     bool noneKnown = false;
+    // Only regions that may take no more of this region's requests have room.
+    bool shiftCapped = false;
     milliseconds retryAfter{500};
 };
 
@@ -174,6 +175,8 @@
         double failureShare = 0;
         std::uint32_t failuresInRow = 0;
         instant avoidUntil;
+        // Nothing is served there until then, as far as it is known.
+        instant lostUntil;
         milliseconds lastAvoidance{0};
         instant coldUntil;
         double coldTokens = 1;
@@ -186,9 +189,14 @@
     // What requests of one service usually take at an idle upstream.
     struct service_record
     {
+        explicit service_record(shift_cap cap)
+            : shares(cap)
+        {
+        }
+
         std::vector<upstream_id> members;
         object_placement placement;
-        class_index index = 0;
+        region_shares shares;
         double familiarMs = 300;
         double unfamiliarMs = 900;
         double withoutObjectMs = 300;
@@ -206,17 +214,31 @@
         upstream_record *upstream = nullptr;
         // In milliseconds of waiting that it is worth.
         double cost = std::numeric_limits<double>::max();
+        // The cost to which upstreams of its region are compared; lower while it is untried.
+        double costInRegion = std::numeric_limits<double>::max();
         double expectedMs = 0;
         double queuedMs = 0;
     };
 
-    // Everything but the shift between regions.
+    // What a service's upstreams offer to one request.
+    struct service_survey
+    {
+        std::map<region_name, choice_option> best;
+        std::map<region_name, choice_option> bestWithoutQueue;
+        std::size_t usable = 0;
+        std::size_t withoutQueue = 0;
+    };
+
+    [[nodiscard]] service_survey survey(service_record &service, const choice_request &request,
+                                        instant now);
     [[nodiscard]] choice_option assess(upstream_record &upstream, service_record &service,
                                        const choice_request &request, instant now);
-    [[nodiscard]] region_index indexOf(const region_name &region);
-    void beginSpread(instant now);
-    [[nodiscard]] double shiftPenaltyMs(const service_record &service, const region_name &region,
-                                        bool counted, instant now);
+    // The options that serve the request in time, by region.
+    [[nodiscard]] static std::map<region_name, choice_option>
+    timelyOptions(const service_survey &found, const choice_request &request);
+    void beginShares(service_record &service, instant now);
+    // Slots of upstreams that are neither evacuated, nor cold, nor lost.
+    [[nodiscard]] region_weights usableSlots(const service_record &service, instant now) const;
     [[nodiscard]] static object_knowledge knowledgeOf(const upstream_record &upstream,
                                                       const std::string &object);
     [[nodiscard]] double loadOf(const upstream_record &upstream, instant now) const;
@@ -248,9 +270,7 @@
     std::map<service_name, service_record> m_services;
     std::map<region_name, double> m_roundTripMs;
     std::set<zone_name> m_evacuated;
-    shift_limiter m_shift;
-    std::map<region_name, region_index> m_regionIndexes;
-    std::optional<instant> m_firstRequest;
+    std::map<region_name, double> m_entriesByRegion;
     // Entries that share the rate of a cold upstream.
     std::size_t m_entries = 1;
 };
--- /dev/null
+++ b/src/relay/region_shares.cpp
@@ -0,0 +1,170 @@
+#include "kingcuptiller/relay/region_shares.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace kingcuptiller {
+
+namespace {
+
+// Part of the cap that the movement of the shares uses; the rest is for the tolerance below and for
+// entries whose traffic changes.
+constexpr double movementShare = 0.65;
+// A region may get this part of a window's requests beyond its share, or the number below where
+// that is more, so that the choice of an upstream is not forced at every request.
+constexpr double toleranceShare = 0.03;
+constexpr double leastToleranceRequests = 2;
+// Weight of the newest request in where requests would best go.
+constexpr double preferenceWeight = 0.05;
+
+} // namespace
+
+region_weights initialShares(const region_name &home,
+                             const std::map<region_name, region_capacity> &regions)
+{
+    double slots = 0;
+    double entries = 0;
+    for (const auto &[name, region] : regions) {
+        slots += region.slots;
+        entries += region.entries;
+    }
+    region_capacity own;
+    if (const auto found = regions.find(home); found != regions.end())
+        own = found->second;
+    double homeShare = own.slots > 0 || slots <= 0 ? 1 : 0;
+    if (slots > 0 && own.entries > 0)
+        homeShare = std::min(1.0, own.slots / slots * entries / own.entries);
+    region_weights spare;
+    region_weights others;
+    double spareSum = 0;
+    for (const auto &[name, region] : regions) {
+        if (name == home || slots <= 0)
+            continue;
+        others[name] = region.slots / slots;
+        const double used = entries > 0 ? region.entries / entries : 0;
+        spare[name] = std::max(0.0, region.slots / slots - used);
+        spareSum += spare[name];
+    }
+    const region_weights &weights = spareSum > 0 ? spare : others;
+    double weightSum = 0;
+    for (const auto &[name, weight] : weights)
+        weightSum += weight;
+    region_weights shares;
+    for (const auto &[name, weight] : weights)
+        shares[name] = weightSum > 0 ? (1 - homeShare) * weight / weightSum : 0;
+    shares[home] = weightSum > 0 ? homeShare : 1;
+    return shares;
+}
+
+void region_shares::begin(const region_weights &shares, instant now)
+{
+    for (const auto &[name, share] : shares)
+        m_regions[name] = {share, share, 0, 0};
+    m_last = now;
+}
+
+void region_shares::setSlots(const region_weights &slots)
+{
+    double displaced = 0;
+    double remaining = 0;
+    for (auto &[name, region] : m_regions) {
+        const auto given = slots.find(name);
+        const double present = given == slots.end() ? 0 : given->second;
+        if (present < region.slots) {
+            const double lost = region.share * (1 - present / region.slots);
+            region.share -= lost;
+            displaced += lost;
+        }
+        region.slots = present;
+        remaining += present;
+    }
+    for (const auto &[name, present] : slots)
+        m_regions[name].slots = present;
+    if (displaced <= 0 || remaining <= 0)
+        return;
+    for (auto &[name, region] : m_regions)
+        region.share += displaced * region.slots / remaining;
+}
+
+double region_shares::tolerance() const
+{
+    return std::max(leastToleranceRequests, m_recent * toleranceShare);
+}
+
+bool region_shares::mayTake(const region_name &region) const
+{
+    const auto found = m_regions.find(region);
+    return found != m_regions.end() && found->second.due + found->second.share - 1 >= -tolerance();
+}
+
+double region_shares::pressure(const region_name &region) const
+{
+    const auto found = m_regions.find(region);
+    if (found == m_regions.end())
+        return 1;
+    return std::clamp(-found->second.due / tolerance(), 0.0, 1.0);
+}
+
+void region_shares::moveTowardsPreference(double seconds)
+{
+    double distance = 0;
+    for (const auto &[name, region] : m_regions)
+        distance += std::abs(region.preference - region.share) / 2;
+    if (distance <= 0)
+        return;
+    const double speed =
+        m_cap.largestShare * movementShare / std::chrono::duration<double>(m_cap.window).count();
+    const double part = std::min(1.0, speed * seconds / distance);
+    for (auto &[name, region] : m_regions)
+        region.share += (region.preference - region.share) * part;
+}
+
+void region_shares::advance(instant now)
+{
+    const double window = std::chrono::duration<double>(m_cap.window).count();
+    const double seconds =
+        std::clamp(std::chrono::duration<double>(now - m_last).count(), 0.0, window);
+    m_last = std::max(m_last, now);
+    m_recent = m_recent * std::exp(-seconds / window) + 1;
+    moveTowardsPreference(seconds);
+    // What a region did not get for long is forgotten, or a region that cannot take its share would
+    // hold up the others.
+    const double kept = std::exp(-seconds / window);
+    for (auto &[name, region] : m_regions)
+        region.due = region.due * kept + region.share;
+}
+
+void region_shares::decided(const region_name &preferred, const region_name &taken, instant now)
+{
+    for (auto &[name, region] : m_regions)
+        region.preference += ((name == preferred ? 1 : 0) - region.preference) * preferenceWeight;
+    advance(now);
+    m_regions[taken].due -= 1;
+}
+
+void region_shares::refused(instant now)
+{
+    advance(now);
+    const auto most = std::max_element(
+        m_regions.begin(), m_regions.end(),
+        [](const auto &one, const auto &other) { return one.second.due < other.second.due; });
+    if (most != m_regions.end())
+        most->second.due -= 1;
+}
+
+void region_shares::withdrawn(const region_name &region)
+{
+    // The new decision counts the request once more.
+    for (auto &[name, each] : m_regions)
+        each.due -= each.share;
+    m_regions[region].due += 1;
+}
+
+double region_shares::shareOf(const region_name &region) const
+{
+    const auto found = m_regions.find(region);
+    return found == m_regions.end() ? 0 : found->second.share;
+}
+
+} // namespace kingcuptiller
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -33,6 +33,13 @@
 using internal::numberIn;
 using internal::view;
 
+std::string_view reasonText(const no_choice &reason)
+{
+    if (reason.noneKnown)
+        return "no_upstream";
+    return reason.shiftCapped ? "shift_cap" : "all_busy";
+}
+
 } // namespace
 
 // What the log tells of a request's last sending.
@@ -54,6 +61,7 @@
     // When the client must have its answer.
     instant due;
     std::set<upstream_id> tried;
+    std::optional<region_name> formerRegion;
     // An earlier sending may have run.
     bool mayHaveRun = false;
     // The answer of an upstream that failed an idempotent request.
@@ -103,8 +111,7 @@
             .field("service", flow.service.text())
             .field("region", flow.region.text())
             .field("first", flow.first)
-            .field("repeated", flow.repeated)
-            .field("beyond_cap", flow.beyondCap);
+            .field("repeated", flow.repeated);
     }
 }
 
@@ -160,6 +167,7 @@
                  now,
                  now + std::min(clientLimit, route->timeout) - m_options.answerReserve,
                  {},
+                 std::nullopt,
                  false,
                  std::nullopt,
                  std::nullopt,
@@ -185,14 +193,15 @@
             co_return trip.mayHaveRun ? openEnd(trip, "attempts_used")
                                       : refusal(trip, "attempts_used", retryAfterNoUpstream);
         no_choice reason;
-        const auto upstream = m_choice.choose({trip.service, trip.object, trip.route.regions,
-                                               trip.route.latencyTarget, left, trip.tried},
-                                              now, reason);
+        const auto upstream =
+            m_choice.choose({trip.service, trip.object, trip.route.regions,
+                             trip.route.latencyTarget, left, trip.tried, trip.formerRegion},
+                            now, reason);
         if (!upstream)
-            co_return trip.mayHaveRun
-                ? openEnd(trip, "no_upstream")
-                : refusal(trip, reason.noneKnown ? "no_upstream" : "all_busy", reason.retryAfter);
+            co_return trip.mayHaveRun ? openEnd(trip, "no_upstream")
+                                      : refusal(trip, reasonText(reason), reason.retryAfter);
         trip.tried.insert(upstream->life.id);
+        trip.formerRegion = upstream->region;
         if (auto answer = co_await attempt(trip, *upstream))
             co_return std::move(*answer);
     }
@@ -203,7 +212,7 @@
 {
     const instant sent = m_options.now();
     const sending_record sending = m_choice.started(upstream.life.id, trip.object, sent);
-    m_flows.sent(trip.service, upstream.region, trip.sent > 0, upstream.beyondCap);
+    m_flows.sent(trip.service, upstream.region, trip.sent > 0);
     sending_result result = co_await sendTo(trip, upstream);
     const sending_outcome outcome =
         trip.client.hasLeft() && result.kind != sending_result::end::answered
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -35,17 +35,12 @@
 constexpr double mostRankMs = 600;
 // A silent upstream is used only when nothing else is there.
 constexpr double silencePenaltyMs = 2'000;
-// What a region costs that gets more than its share of the requests: much while all objects are
-// new, then less, so that the return to near upstreams is slow and a burst may still spread.
-constexpr double spreadPenaltyMs = 1'000;
-constexpr milliseconds spreadTime{2'000};
-constexpr double returnPenaltyMs = 200;
-constexpr milliseconds returnTime{8'000};
+// What it costs to use a region that has got almost all that it may take, so that the requests that
+// lose least by it go elsewhere.
+constexpr double pressureMs = 600;
 // An upstream that joined knows no objects and would get nothing while the others have room, so its
 // first request is sent to it regardless.
 constexpr double untriedBonusMs = 5'000;
-// The whole cap is open to every request.
-constexpr rank_number shiftRank{1};
 // The cold rate of all entries together stays below the tolerated one by this factor, because an
 // entry that is cut off may not know how many share it.
 constexpr double coldRateShare = 0.8;
@@ -65,7 +60,6 @@
 
 upstream_choice::upstream_choice(choice_settings settings)
     : m_settings(std::move(settings))
-    , m_shift(m_settings.shiftShare)
 {
 }
 
@@ -89,6 +83,9 @@
     for (auto &[name, service] : m_services)
         service.members.clear();
     m_entries = std::max<std::size_t>(m_entries, view.entries.size());
+    m_entriesByRegion.clear();
+    for (const serving_entry &entry : view.entries)
+        m_entriesByRegion[entry.region] += 1;
     for (const upstream_life &life : view.upstreams) {
         if (life.state != upstream_state::serving)
             continue;
@@ -102,11 +99,8 @@
         const auto region = m_settings.regions.find(life.zone);
         record.region = region == m_settings.regions.end() ? region_name() : region->second;
         record.evacuated = view.evacuated.contains(life.zone);
-        const std::size_t services = m_services.size();
-        auto [place, isNew] = m_services.try_emplace(life.service);
-        service_record &service = place->second;
-        if (isNew)
-            service.index = static_cast<class_index>(services);
+        service_record &service =
+            m_services.try_emplace(life.service, m_settings.shift).first->second;
         if (const service_settings *settings = routes.service(life.service)) {
             service.coldRequestsPerSecond = settings->coldRequestsPerSecond;
             service.coldTime = settings->coldTime;
@@ -205,40 +199,26 @@
     return now < upstream.coldUntil ? work * coldFactor : work;
 }
 
-region_index upstream_choice::indexOf(const region_name &region)
+void upstream_choice::beginShares(service_record &service, instant now)
 {
-    return m_regionIndexes.try_emplace(region, static_cast<region_index>(m_regionIndexes.size()))
-        .first->second;
+    std::map<region_name, region_capacity> regions;
+    for (const auto &[region, entries] : m_entriesByRegion)
+        regions[region].entries = entries;
+    const region_weights slots = usableSlots(service, now);
+    for (const auto &[region, count] : slots)
+        regions[region].slots = count;
+    service.shares.begin(initialShares(m_settings.region, regions), now);
 }
 
-// All upstreams are unfamiliar with their objects at first and fill up within a second. Going home
-// first and leaving then would shift most of the traffic, so it begins in proportion to the slots.
-void upstream_choice::beginSpread(instant now)
+region_weights upstream_choice::usableSlots(const service_record &service, instant now) const
 {
-    m_firstRequest = now;
-    std::map<flow_source, std::map<region_index, std::uint64_t>> slots;
-    for (const auto &[id, upstream] : m_upstreams) {
-        const service_record &service = m_services.at(upstream.life.service);
-        slots[{service.index, indexOf(m_settings.region)}][indexOf(upstream.region)] +=
-            upstream.life.slots;
-    }
-    std::vector<counted_flow> flows;
-    for (const auto &[source, regions] : slots) {
-        for (const auto &[region, count] : regions)
-            flows.push_back({source, region, count});
+    region_weights slots;
+    for (const upstream_id &id : service.members) {
+        const upstream_record &upstream = m_upstreams.at(id);
+        if (!upstream.evacuated && now >= upstream.lostUntil && now >= upstream.coldUntil)
+            slots[upstream.region] += upstream.life.slots;
     }
-    m_shift.setBaseline(flows);
-}
-
-double upstream_choice::shiftPenaltyMs(const service_record &service, const region_name &region,
-                                       bool counted, instant now)
-{
-    const milliseconds age = std::chrono::duration_cast<milliseconds>(now - *m_firstRequest);
-    if (age >= returnTime
-        || m_shift.mayForward({service.index, indexOf(m_settings.region)}, indexOf(region),
-                              shiftRank, counted, now))
-        return 0;
-    return age < spreadTime ? spreadPenaltyMs : returnPenaltyMs;
+    return slots;
 }
 
 void upstream_choice::refillColdTokens(upstream_record &upstream, const service_record &service,
@@ -281,66 +261,100 @@
         const std::size_t rank = service.placement.ranksOf(request.object)[upstream.number];
         option.cost += std::min(static_cast<double>(rank) * rankMs, mostRankMs);
     }
+    option.costInRegion = option.cost;
     if (upstream.untried && upstream.region == m_settings.region
         && option.expectedMs <= usableMs(request))
-        option.cost -= untriedBonusMs;
+        option.costInRegion -= untriedBonusMs;
     return option;
 }
 
-std::optional<chosen_upstream> upstream_choice::choose(const choice_request &request, instant now,
-                                                       no_choice &reason)
+upstream_choice::service_survey upstream_choice::survey(service_record &service,
+                                                        const choice_request &request, instant now)
 {
-    const auto found = m_services.find(request.service);
-    reason.noneKnown = found == m_services.end() || found->second.members.empty();
-    if (reason.noneKnown)
-        return std::nullopt;
-    service_record &service = found->second;
-    const bool counted = !request.tried.empty();
-    if (!m_firstRequest)
-        beginSpread(now);
-    std::map<region_name, double> shiftPenalties;
-    choice_option best;
-    choice_option bestWithoutQueue;
-    std::size_t usable = 0;
-    std::size_t withoutQueue = 0;
+    const auto improve = [](choice_option &best, const choice_option &option) {
+        const double cost = std::min(best.cost, option.cost);
+        if (option.costInRegion < best.costInRegion)
+            best = option;
+        best.cost = cost;
+    };
+    service_survey result;
     for (const upstream_id &id : service.members) {
         upstream_record &upstream = m_upstreams.at(id);
         if (!mayUse(upstream, service, request, now))
             continue;
-        choice_option option = assess(upstream, service, request, now);
-        const auto [shift, unknown] = shiftPenalties.try_emplace(upstream.region, 0);
-        if (unknown)
-            shift->second = shiftPenaltyMs(service, upstream.region, counted, now);
-        option.cost += shift->second;
-        if (option.cost < best.cost)
-            best = option;
-        ++usable;
+        const choice_option option = assess(upstream, service, request, now);
+        improve(result.best[upstream.region], option);
+        ++result.usable;
         if (option.queuedMs > 0)
             continue;
-        ++withoutQueue;
-        if (option.cost < bestWithoutQueue.cost)
-            bestWithoutQueue = option;
+        ++result.withoutQueue;
+        improve(result.bestWithoutQueue[upstream.region], option);
     }
+    return result;
+}
+
+std::map<region_name, upstream_choice::choice_option>
+upstream_choice::timelyOptions(const service_survey &found, const choice_request &request)
+{
     // An object that is asked for very often goes elsewhere while most upstreams have room. When
     // the whole service is short, spreading only makes more upstreams forget their objects.
-    if (best.queuedMs
-        > static_cast<double>(request.latencyTarget.count()) * longestQueueInTargets) {
-        const bool mostHaveRoom =
-            static_cast<double>(withoutQueue) >= static_cast<double>(usable) * roomToSpread;
-        best = mostHaveRoom ? bestWithoutQueue : choice_option{};
+    const bool mostHaveRoom =
+        static_cast<double>(found.withoutQueue) >= static_cast<double>(found.usable) * roomToSpread;
+    const double longestQueueMs =
+        static_cast<double>(request.latencyTarget.count()) * longestQueueInTargets;
+    std::map<region_name, choice_option> result;
+    for (const auto &[region, best] : found.best) {
+        const auto free = found.bestWithoutQueue.find(region);
+        choice_option option = best;
+        if (best.queuedMs > longestQueueMs)
+            option = mostHaveRoom && free != found.bestWithoutQueue.end() ? free->second
+                                                                          : choice_option{};
+        if (option.upstream != nullptr && option.expectedMs <= usableMs(request))
+            result.emplace(region, option);
+    }
+    return result;
+}
+
+std::optional<chosen_upstream> upstream_choice::choose(const choice_request &request, instant now,
+                                                       no_choice &reason)
+{
+    const auto found = m_services.find(request.service);
+    reason.noneKnown = found == m_services.end() || found->second.members.empty();
+    if (reason.noneKnown)
+        return std::nullopt;
+    service_record &service = found->second;
+    region_shares &shares = service.shares;
+    if (!shares.hasBegun())
+        beginShares(service, now);
+    shares.setSlots(usableSlots(service, now));
+    if (request.formerRegion)
+        shares.withdrawn(*request.formerRegion);
+    const auto options = timelyOptions(survey(service, request, now), request);
+    // A request that is bound to one region has no other to move to.
+    const bool isBound = request.regions.size() == 1;
+    const std::pair<const region_name, choice_option> *preferred = nullptr;
+    const std::pair<const region_name, choice_option> *taken = nullptr;
+    double takenCost = std::numeric_limits<double>::max();
+    for (const auto &option : options) {
+        if (preferred == nullptr || option.second.cost < preferred->second.cost)
+            preferred = &option;
+        if (!isBound && !shares.mayTake(option.first))
+            continue;
+        const double cost = option.second.cost + shares.pressure(option.first) * pressureMs;
+        if (cost < takenCost) {
+            taken = &option;
+            takenCost = cost;
+        }
     }
-    const flow_source source{service.index, indexOf(m_settings.region)};
-    if (best.upstream == nullptr || best.expectedMs > usableMs(request)) {
-        if (!counted)
-            m_shift.refuse(source, now);
+    if (taken == nullptr) {
+        reason.shiftCapped = preferred != nullptr;
+        shares.refused(now);
         return std::nullopt;
     }
-    const region_index destination = indexOf(best.upstream->region);
-    const bool withinCap = m_shift.mayForward(source, destination, shiftRank, counted, now);
-    m_shift.forward(source, destination, counted, now);
-    return chosen_upstream{best.upstream->life,
-                           best.upstream->region,
-                           !withinCap,
+    if (!isBound)
+        shares.decided(preferred->first, taken->first, now);
+    const choice_option &best = taken->second;
+    return chosen_upstream{best.upstream->life, best.upstream->region,
                            milliseconds(std::llround(best.expectedMs)),
                            milliseconds(std::llround(best.queuedMs)),
                            milliseconds(std::llround(networkMs(*best.upstream)))};
--- a/src/relay/upstream_observations.cpp
+++ b/src/relay/upstream_observations.cpp
@@ -54,6 +54,7 @@
     if (outcome == sending_outcome::replaced) {
         // Only a new announcement tells which lifetime is there now.
         upstream.avoidUntil = now + longestAvoidance;
+        upstream.lostUntil = upstream.avoidUntil;
         return;
     }
     upstream.failureShare += (1 - upstream.failureShare) * failureWeight;
@@ -63,6 +64,9 @@
     upstream.lastAvoidance =
         std::clamp(upstream.lastAvoidance * 2, firstAvoidance, longestAvoidance);
     upstream.avoidUntil = now + upstream.lastAvoidance;
+    // An upstream that answers late is short of time; that is no loss of room.
+    if (outcome != sending_outcome::timed_out)
+        upstream.lostUntil = upstream.avoidUntil;
 }
 
 void upstream_choice::noteQueue(const upstream_record &upstream, const sending_record &sending,
@@ -70,7 +74,7 @@
 {
     if (now < upstream.coldUntil)
         return;
-    service_record &service = m_services[upstream.life.service];
+    service_record &service = m_services.at(upstream.life.service);
     const double each = (toMs(elapsed) - networkMs(upstream)) / (1 + sending.queueRounds);
     service.queuedMs += (std::max(each, 1.0) - service.queuedMs) * durationWeight;
 }
@@ -78,7 +82,7 @@
 void upstream_choice::noteDuration(upstream_record &upstream, const sending_record &sending,
                                    microseconds elapsed, instant now)
 {
-    service_record &service = m_services[upstream.life.service];
+    service_record &service = m_services.at(upstream.life.service);
     // Time in the upstream's queue says nothing about its work.
     if (loadOf(upstream, now) + 1 > upstream.life.slots || now < upstream.coldUntil)
         return;
--- a/tests/relay/region_flows_test.cpp
+++ b/tests/relay/region_flows_test.cpp
@@ -23,11 +23,10 @@
         const service_name lookups("lookups");
         const region_name home("home");
         const region_name far("far");
-        flows.sent(lookups, home, false, false);
-        flows.sent(lookups, home, true, false);
-        flows.sent(lookups, far, false, true);
-        const std::vector<region_flow> expected = {{lookups, far, 1, 0, 1},
-                                                   {lookups, home, 1, 1, 0}};
+        flows.sent(lookups, home, false);
+        flows.sent(lookups, home, true);
+        flows.sent(lookups, far, false);
+        const std::vector<region_flow> expected = {{lookups, far, 1, 0}, {lookups, home, 1, 1}};
         CPPUNIT_ASSERT(flows.take() == expected);
         CPPUNIT_ASSERT(flows.take().empty());
         const std::string line = "kct_relay_sendings{region=\"home\",service=\"lookups\"} 2\n";
--- a/tests/relay/upstream_choice_test.cpp
+++ b/tests/relay/upstream_choice_test.cpp
@@ -51,12 +51,18 @@
         view.upstreams.push_back(life);
     }
 
-    std::string choose(const std::string &object = "", std::set<upstream_id> tried = {})
+    std::string choose(const std::string &object = "", std::set<upstream_id> tried = {},
+                       std::optional<region_name> formerRegion = std::nullopt)
     {
         no_choice reason;
-        const auto chosen = choices.choose(
-            {lookups, object, {}, milliseconds(600), milliseconds(4'000), std::move(tried)}, now,
-            reason);
+        const auto chosen = choices.choose({lookups,
+                                            object,
+                                            {},
+                                            milliseconds(600),
+                                            milliseconds(4'000),
+                                            std::move(tried),
+                                            std::move(formerRegion)},
+                                           now, reason);
         return chosen ? chosen->life.id.text() : std::string();
     }
 
@@ -242,10 +248,12 @@
     {
         choice_world world;
         std::set<upstream_id> tried;
+        std::optional<region_name> former;
         for (std::size_t i = 0; i < world.view.upstreams.size(); ++i) {
-            const std::string id = world.choose("object", tried);
+            const std::string id = world.choose("object", tried, former);
             CPPUNIT_ASSERT(!id.empty());
             CPPUNIT_ASSERT(tried.insert(upstream_id(id)).second);
+            former = region_name(id.substr(0, id.find('-')));
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), world.choose("object", tried));
     }
