Name entries again that come back before their leaving is committed

Cause: the leader compared an entry's sign of life with the committed roster only. An entry that said 'not serving' and then 'serving' within one round trip of the log found itself still listed, so nothing was proposed; then its leaving was committed, and from then on the leader took it to be waiting for its joining. A joining that the log did not take was lost in the same way. Class of fault: a decision against committed state that ignores what is on its way.

Ruled out: entries that do not reach control (the log shows control_connected and serves_requests, and no entry_joined).

Change: the leader keeps the last proposal about each entry until its outcome is known and compares with that.

Evidence: two tests, both failed before.

--- a/include/kingcuptiller/fleet/fleet_control.h
+++ b/include/kingcuptiller/fleet/fleet_control.h
@@ -4,6 +4,7 @@
 #include "kingcuptiller/fleet/fleet_view.h"
 #include "kingcuptiller/values/time.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -94,7 +95,19 @@
         fleet_reply done;
     };
 
+    // What the roster will say of an entry once the last proposal about it is committed.
+    struct entry_proposal
+    {
+        std::uint64_t number = 0;
+        // Nothing when the entry leaves.
+        std::optional<serving_entry> entry;
+    };
+
     void propose(const fleet_command &command, instant now, const fleet_reply &done);
+    void proposeEntry(const endpoint_address &address, const std::optional<serving_entry> &entry,
+                      instant now);
+    // The entry as proposed, or as committed when no proposal is on its way.
+    [[nodiscard]] std::optional<serving_entry> expectedEntry(const endpoint_address &address) const;
     [[nodiscard]] bool changesRoster(const upstream_life &life) const;
     [[nodiscard]] bool isOutlived(const upstream_life &life) const;
 
@@ -106,6 +119,8 @@
     std::map<upstream_id, instant> m_upstreamHeard;
     std::map<endpoint_address, instant> m_entryHeard;
     std::map<log_index, pending_command> m_pending;
+    std::map<endpoint_address, entry_proposal> m_entryProposals;
+    std::uint64_t m_entryProposalCount = 0;
 };
 
 } // namespace kingcuptiller
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -136,17 +136,41 @@
     announce(life, now, done);
 }
 
+std::optional<serving_entry> fleet_control::expectedEntry(const endpoint_address &address) const
+{
+    const auto proposed = m_entryProposals.find(address);
+    if (proposed != m_entryProposals.end())
+        return proposed->second.entry;
+    const auto known = m_state.entries().find(address);
+    return known == m_state.entries().end() ? std::nullopt : std::optional(known->second);
+}
+
+void fleet_control::proposeEntry(const endpoint_address &address,
+                                 const std::optional<serving_entry> &entry, instant now)
+{
+    const std::uint64_t number = ++m_entryProposalCount;
+    m_entryProposals[address] = {number, entry};
+    roster_command command;
+    if (entry)
+        command.joined.push_back(*entry);
+    else
+        command.left.push_back(address);
+    propose(command, now, [this, address, number](result_code) {
+        const auto found = m_entryProposals.find(address);
+        if (found != m_entryProposals.end() && found->second.number == number)
+            m_entryProposals.erase(found);
+    });
+}
+
 void fleet_control::noteEntry(const serving_entry &entry, instant now)
 {
     if (!m_leading)
         return;
-    const bool waits = m_entryHeard.contains(entry.address);
     m_entryHeard[entry.address] = now;
-    const auto known = m_state.entries().find(entry.address);
-    if (known != m_state.entries().end() ? known->second == entry : waits)
+    if (expectedEntry(entry.address) == entry)
         return;
     log_line(log_level::info, "fleet", "entry_joined").field("entry", entry.address.text());
-    propose(roster_command{{}, {entry}, {}}, now, [](result_code) {});
+    proposeEntry(entry.address, entry, now);
 }
 
 void fleet_control::removeEntry(const endpoint_address &address, instant now)
@@ -154,10 +178,10 @@
     if (!m_leading)
         return;
     m_entryHeard.erase(address);
-    if (!m_state.entries().contains(address))
+    if (!expectedEntry(address))
         return;
     log_line(log_level::info, "fleet", "entry_left").field("entry", address.text());
-    propose(roster_command{{}, {}, {address}}, now, [](result_code) {});
+    proposeEntry(address, std::nullopt, now);
 }
 
 void fleet_control::tick(instant now)
@@ -182,15 +206,17 @@
         silent.upstreams.push_back(life);
         log_line(log_level::warning, "fleet", "upstream_silent").field("upstream", id.text());
     }
+    std::vector<endpoint_address> silentEntries;
     for (const auto &[address, heard] : m_entryHeard) {
         if (now - heard >= m_options.entrySilence)
-            silent.left.push_back(address);
+            silentEntries.push_back(address);
     }
     for (const upstream_life &life : silent.upstreams)
         m_upstreamHeard.erase(life.id);
-    for (const endpoint_address &address : silent.left) {
+    for (const endpoint_address &address : silentEntries) {
         m_entryHeard.erase(address);
         log_line(log_level::warning, "fleet", "entry_silent").field("entry", address.text());
+        proposeEntry(address, std::nullopt, now);
     }
     if (silent != roster_command{})
         propose(silent, now, [](result_code) {});
--- a/tests/fleet/fleet_control_test.cpp
+++ b/tests/fleet/fleet_control_test.cpp
@@ -15,6 +15,8 @@
     leader_harness()
         : control({},
                   {[this](const std::string &text) -> std::optional<fleet_log_place> {
+                       if (!takes)
+                           return std::nullopt;
                        log.push_back(text);
                        return fleet_log_place{log_index(log.size()), epoch_number(1)};
                    },
@@ -39,6 +41,8 @@
 
     instant now{std::chrono::seconds(100)};
     bool lease = true;
+    // The log takes commands.
+    bool takes = true;
     std::vector<std::string> log;
     std::size_t committed = 0;
     std::optional<result_code> answered;
@@ -69,6 +73,8 @@
     CPPUNIT_TEST(nothingIsAcceptedWithoutALease);
     CPPUNIT_TEST(lostLeadershipLeavesOutcomesOpen);
     CPPUNIT_TEST(silentEntryIsNoLongerNamed);
+    CPPUNIT_TEST(entryThatComesBackBeforeItsLeavingIsCommittedIsNamed);
+    CPPUNIT_TEST(entryWhoseJoiningWasNotTakenIsProposedAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -165,6 +171,34 @@
         leader.commitAll();
         CPPUNIT_ASSERT(leader.control.state().entries().empty());
     }
+
+    // Guards against entries that serve but are named to no client for the rest of the day.
+    void entryThatComesBackBeforeItsLeavingIsCommittedIsNamed()
+    {
+        const serving_entry entry{endpoint_address("10.0.0.9:80"), region_name("r"),
+                                  zone_name("a")};
+        leader_harness leader;
+        leader.control.noteEntry(entry, leader.now);
+        leader.commitAll();
+        leader.control.removeEntry(entry.address, leader.now);
+        leader.control.noteEntry(entry, leader.now);
+        leader.commitAll();
+        CPPUNIT_ASSERT(leader.control.state().entries().contains(entry.address));
+    }
+
+    // Guards against a joining that is given up when the log takes no commands for a moment.
+    void entryWhoseJoiningWasNotTakenIsProposedAgain()
+    {
+        const serving_entry entry{endpoint_address("10.0.0.9:80"), region_name("r"),
+                                  zone_name("a")};
+        leader_harness leader;
+        leader.takes = false;
+        leader.control.noteEntry(entry, leader.now);
+        leader.takes = true;
+        leader.control.noteEntry(entry, leader.now);
+        leader.commitAll();
+        CPPUNIT_ASSERT(leader.control.state().entries().contains(entry.address));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_control_test);
