Let refused requests earn no region a share

Cause: a refused request counted for the region that was due most, so the others kept their part of all requests and their part of those that run jumped when home refused many.

Change: a refusal moves the shares and counts for no region.

--- a/include/kingcuptiller/relay/region_shares.h
+++ b/include/kingcuptiller/relay/region_shares.h
@@ -72,7 +72,8 @@
 
     // A request would best go to `preferred` and goes to `taken`.
     void decided(const region_name &preferred, const region_name &taken, instant now);
-    // A request was refused; it counts where it is due.
+    // A request was refused. It earns no region anything: when a full region refuses, the part of
+    // the others among the requests that run would jump.
     void refused(instant now);
     // A request that was counted for `region` has not been served there and is decided on again.
     void withdrawn(const region_name &region);
--- a/src/relay/region_shares.cpp
+++ b/src/relay/region_shares.cpp
@@ -132,7 +132,7 @@
     // hold up the others.
     const double kept = std::exp(-seconds / window);
     for (auto &[name, region] : m_regions)
-        region.due = region.due * kept + region.share;
+        region.due *= kept;
 }
 
 void region_shares::decided(const region_name &preferred, const region_name &taken, instant now)
@@ -140,17 +140,14 @@
     for (auto &[name, region] : m_regions)
         region.preference += ((name == preferred ? 1 : 0) - region.preference) * preferenceWeight;
     advance(now);
+    for (auto &[name, region] : m_regions)
+        region.due += region.share;
     m_regions[taken].due -= 1;
 }
 
 void region_shares::refused(instant now)
 {
     advance(now);
-    const auto most = std::max_element(
-        m_regions.begin(), m_regions.end(),
-        [](const auto &one, const auto &other) { return one.second.due < other.second.due; });
-    if (most != m_regions.end())
-        most->second.due -= 1;
 }
 
 void region_shares::withdrawn(const region_name &region)
