Let what an upstream did fade without news of it

Cause: failures and slowness of an upstream were corrected only by its own answers. Half of the first requests ran into the route's timeout; the mark made each upstream dearer than all others, so no answer came that could remove it. Class of fault: an estimate that steers away the only evidence that could correct it.

Ruled out: avoidance times (they end after 8 s).

Change: the marks count half after 4 s without news. Evidence: upstreamThatDidBadlyLongAgoIsUsedAgain failed before.

--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -170,9 +170,11 @@
         // Requests of other entries at the last report.
         double others = 0;
         instant reported;
-        // How many times slower than its service's usual time it answers.
+        // How many times slower than its service's usual time it answered when it was observed
+        // last, and the share of its answers that failed then. Both fade; see `fade`.
         double slowness = 1;
         double failureShare = 0;
+        instant observed;
         std::uint32_t failuresInRow = 0;
         instant avoidUntil;
         // Nothing is served there until then, as far as it is known.
@@ -258,6 +260,11 @@
     void noteColdStart(upstream_record &upstream, milliseconds coldFor, instant now) const;
     void refillColdTokens(upstream_record &upstream, const service_record &service,
                           instant now) const;
+    // The weight that the last observation of an upstream still has: without it, one that did badly
+    // would get no requests that could show that it is well again.
+    [[nodiscard]] static double fade(const upstream_record &upstream, instant now);
+    [[nodiscard]] static double slownessOf(const upstream_record &upstream, instant now);
+    static void noteObserved(upstream_record &upstream, instant now);
     void noteFailure(upstream_record &upstream, sending_outcome outcome, instant now);
     void noteDuration(upstream_record &upstream, const sending_record &sending,
                       microseconds elapsed, instant now);
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -189,13 +189,13 @@
 double upstream_choice::queueMs(const upstream_record &upstream, const service_record &service,
                                 instant now) const
 {
-    return queueRounds(upstream, now) * service.queuedMs * upstream.slowness;
+    return queueRounds(upstream, now) * service.queuedMs * slownessOf(upstream, now);
 }
 
 double upstream_choice::workMs(const upstream_record &upstream, service_record &service,
                                const std::string &object, instant now) const
 {
-    const double work = service.usualMs(knowledgeOf(upstream, object)) * upstream.slowness;
+    const double work = service.usualMs(knowledgeOf(upstream, object)) * slownessOf(upstream, now);
     return now < upstream.coldUntil ? work * coldFactor : work;
 }
 
@@ -256,7 +256,8 @@
     option.expectedMs =
         networkMs(upstream) + option.queuedMs + workMs(upstream, service, request.object, now);
     option.cost = option.expectedMs + placePenaltyMs(upstream)
-        + upstream.failureShare * failurePenaltyMs + (upstream.life.silent ? silencePenaltyMs : 0);
+        + upstream.failureShare * fade(upstream, now) * failurePenaltyMs
+        + (upstream.life.silent ? silencePenaltyMs : 0);
     if (!request.object.empty()) {
         const std::size_t rank = service.placement.ranksOf(request.object)[upstream.number];
         option.cost += std::min(static_cast<double>(rank) * rankMs, mostRankMs);
--- a/src/relay/upstream_observations.cpp
+++ b/src/relay/upstream_observations.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 // What the choice of upstreams learns from how sendings end.
 
@@ -19,6 +20,8 @@
 constexpr milliseconds longestAvoidance{8'000};
 constexpr milliseconds shedAvoidance{100};
 constexpr std::uint32_t failuresToAvoid = 3;
+// What an upstream did counts half after this time without news.
+constexpr milliseconds observationHalfLife{4'000};
 
 double toMs(microseconds duration)
 {
@@ -45,6 +48,24 @@
     }
 }
 
+double upstream_choice::fade(const upstream_record &upstream, instant now)
+{
+    const double ageMs = std::max(toMs(now - upstream.observed), 0.0);
+    return std::exp2(-ageMs / static_cast<double>(observationHalfLife.count()));
+}
+
+double upstream_choice::slownessOf(const upstream_record &upstream, instant now)
+{
+    return 1 + (upstream.slowness - 1) * fade(upstream, now);
+}
+
+void upstream_choice::noteObserved(upstream_record &upstream, instant now)
+{
+    upstream.slowness = slownessOf(upstream, now);
+    upstream.failureShare *= fade(upstream, now);
+    upstream.observed = now;
+}
+
 void upstream_choice::noteFailure(upstream_record &upstream, sending_outcome outcome, instant now)
 {
     if (outcome == sending_outcome::shed) {
@@ -112,6 +133,7 @@
     }
     if (outcome == sending_outcome::abandoned)
         return;
+    noteObserved(upstream, now);
     if (outcome == sending_outcome::answered || outcome == sending_outcome::timed_out)
         noteQueue(upstream, sending, elapsed, now);
     if (outcome != sending_outcome::answered) {
--- a/tests/relay/upstream_choice_test.cpp
+++ b/tests/relay/upstream_choice_test.cpp
@@ -116,6 +116,7 @@
     CPPUNIT_TEST(evacuatedZonesGetNothing);
     CPPUNIT_TEST(triedUpstreamsAreNotChosenAgain);
     CPPUNIT_TEST(failingUpstreamIsAvoided);
+    CPPUNIT_TEST(upstreamThatDidBadlyLongAgoIsUsedAgain);
     CPPUNIT_TEST(upstreamThatJoinedGetsARequest);
     CPPUNIT_TEST(coldUpstreamGetsAPartOfItsRate);
     CPPUNIT_TEST(requestsWithoutAnObjectDoNotTeachTheTimeOfUnfamiliarOnes);
@@ -258,6 +259,24 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), world.choose("object", tried));
     }
 
+    // Guards against upstreams that get nothing for the rest of the day after a few bad seconds.
+    void upstreamThatDidBadlyLongAgoIsUsedAgain()
+    {
+        choice_world world;
+        world.warmUp();
+        const std::string usual = world.serve("object");
+        for (int i = 0; i < 8; ++i) {
+            const sending_record sending =
+                world.choices.started(upstream_id(usual), "object", world.now);
+            world.now += milliseconds(1'500);
+            world.choices.finished(upstream_id(usual), sending, sending_outcome::timed_out,
+                                   milliseconds(1'500), std::nullopt, world.now);
+        }
+        CPPUNIT_ASSERT(world.choose("object") != usual);
+        world.now += std::chrono::seconds(30);
+        CPPUNIT_ASSERT_EQUAL(usual, world.choose("object"));
+    }
+
     // Guards against sending on to an upstream to which no connection can be made.
     void failingUpstreamIsAvoided()
     {
