Spread the first requests of many entries to a cold upstream

Cause: each entry keeps its part of the cold rate but began with one request in hand, so 31 entries sent 31 in the first second (bound 16.85 at 5.9 a second).

Change: an entry begins somewhere in its interval, given by a hash of the upstream and the entry.

Evidence: manyEntriesDoNotMeetAtAColdUpstream sent 31 before.

--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -79,6 +79,8 @@
     milliseconds otherRegionRoundTrip{110};
     // How fast this region's requests may move to other regions.
     shift_cap shift;
+    // Differs between entries, so that they do not all take their part of a shared rate at once.
+    std::uint64_t entrySeed = 0;
     // Objects that an upstream is taken to remember.
     std::size_t rememberedObjects = 24;
 
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -50,6 +50,15 @@
     return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+// Where in the interval between two requests to a cold upstream this entry begins, 0 to 1.
+double firstColdTokens(const upstream_id &upstream, std::uint64_t entrySeed)
+{
+    const std::string &name = upstream.text();
+    const std::uint64_t hash = XXH3_64bits_withSeed(name.data(), name.size(), entrySeed);
+    return static_cast<double>(hash)
+        / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
 // The longest time that an answer may be expected to take.
 double usableMs(const choice_request &request)
 {
@@ -69,7 +78,7 @@
     if (coldFor <= milliseconds(0))
         return;
     if (upstream.coldUntil < now) {
-        upstream.coldTokens = 1;
+        upstream.coldTokens = firstColdTokens(upstream.life.id, m_settings.entrySeed);
         upstream.coldCounted = now;
         upstream.objects = {};
     }
--- a/tests/relay/upstream_choice_test.cpp
+++ b/tests/relay/upstream_choice_test.cpp
@@ -119,6 +119,7 @@
     CPPUNIT_TEST(upstreamThatDidBadlyLongAgoIsUsedAgain);
     CPPUNIT_TEST(upstreamThatJoinedGetsARequest);
     CPPUNIT_TEST(coldUpstreamGetsAPartOfItsRate);
+    CPPUNIT_TEST(manyEntriesDoNotMeetAtAColdUpstream);
     CPPUNIT_TEST(requestsWithoutAnObjectDoNotTeachTheTimeOfUnfamiliarOnes);
     CPPUNIT_TEST(fullUpstreamsRefuse);
     CPPUNIT_TEST(queuesThatMakeEveryoneLateTakeNoMore);
@@ -314,6 +315,40 @@
             CPPUNIT_ASSERT_MESSAGE(life.id.text(), sent[life.id.text()] <= 5);
     }
 
+    // Guards against a cold upstream that gets its first request from all entries at once.
+    void manyEntriesDoNotMeetAtAColdUpstream()
+    {
+        constexpr int entries = 31;
+        constexpr double ratePerSecond = 5.9;
+        constexpr double bound = ratePerSecond * 1.5 + 8;
+        traffic_configuration configuration;
+        configuration.services = {{lookups, 390, milliseconds(3'000), ratePerSecond}};
+        const route_table routes(configuration);
+        choice_world world;
+        world.view.entries.resize(entries);
+        world.view.upstreams.resize(1);
+        world.view.upstreams.front().coldFor = milliseconds(3'000);
+        int sent = 0;
+        for (int entry = 0; entry < entries; ++entry) {
+            choice_settings settings = choice_world::settings();
+            settings.entrySeed = static_cast<std::uint64_t>(entry);
+            upstream_choice choices(settings);
+            choices.update(world.view, routes, world.now);
+            for (int i = 0; i < 100; ++i) {
+                no_choice reason;
+                const instant now = world.now + milliseconds(10 * i);
+                const auto chosen = choices.choose(
+                    {lookups, "a", {}, milliseconds(600), milliseconds(4'000), {}}, now, reason);
+                if (!chosen)
+                    continue;
+                static_cast<void>(choices.started(chosen->life.id, "a", now));
+                ++sent;
+            }
+        }
+        CPPUNIT_ASSERT(sent > 0);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(sent), sent <= bound);
+    }
+
     // Guards against the fault by which probes of routes lowered the time expected of real work.
     void requestsWithoutAnObjectDoNotTeachTheTimeOfUnfamiliarOnes()
     {
