--- a/include/kingcuptiller/settings/node_settings.h
+++ b/include/kingcuptiller/settings/node_settings.h
@@ -47,6 +47,9 @@
     double retryShare = 0.2;
     double retrySlack = 64;
     milliseconds retryWindow{10'000};
+    // The most of a region's requests that may change their region from one window to the next.
+    double largestShift = 0.15;
+    milliseconds shiftWindow{2'000};
 
     log_level logLevel = log_level::info;
     std::vector<effective_setting> effective;
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <thread>
 #include <utility>
@@ -33,6 +35,8 @@
     options.choice.region = settings.region;
     options.choice.zone = settings.zone;
     options.choice.regions = settings.zones;
+    options.choice.shift = {settings.largestShift, settings.shiftWindow};
+    options.choice.entrySeed = XXH3_64bits(settings.name.data(), settings.name.size());
     options.retries = {settings.retryShare, settings.retrySlack, settings.retryWindow};
     options.now = readInstant;
     return options;
--- a/src/settings/node_settings.cpp
+++ b/src/settings/node_settings.cpp
@@ -123,6 +123,11 @@
     settings.retrySlack = decimal(reader, "retries", "slack", 64, mostRetrySlack);
     settings.retryWindow =
         reader.duration("retries", "window", "10 s", {milliseconds(100), milliseconds(600'000)});
+    settings.largestShift = decimal(reader, "steering", "largest_shift", 0.15, 1);
+    if (settings.largestShift <= 0)
+        reader.refuse("steering", "largest_shift", "requests could never leave a region");
+    settings.shiftWindow = reader.duration("steering", "shift_window", "2 s",
+                                           {milliseconds(100), milliseconds(60'000)});
     settings.logLevel = reader.level("process", "log_level");
     settings.effective = reader.finish();
     return settings;
--- a/tests/platform/wire_codec_test.cpp
+++ b/tests/platform/wire_codec_test.cpp
@@ -182,6 +182,8 @@
              host + "[places]\nzones = a=r\n[listen]\ninternal_port = 7540\ncontrol = 10.0.0.1:80\n"
                  + seeds},
             {"no number", host + rest + seeds + "[retries]\nshare = much\n"},
+            {"no shift", host + rest + seeds + "[steering]\nlargest_shift = 0\n"},
+            {"shift of more than all", host + rest + seeds + "[steering]\nlargest_shift = 1.5\n"},
         };
         for (const text_case &each : cases)
             CPPUNIT_ASSERT_THROW_MESSAGE(each.name, parseNodeSettings("f", each.text), error);
