Keep the shares of regions where each entry has few requests

Cause: each entry may send two requests of a service beyond a region's share; ten entries with three services and less than two requests each were never bound by it. Class of fault: a slack for each part that is larger than the part.

Change: the slack is at most a tenth of a window's requests; where that is less than one request the region is drawn with the probability of its share, so that the sum over entries keeps it.

Evidence: fewRequestsOfManyEntriesKeepTheShares.

--- a/include/kingcuptiller/relay/region_shares.h
+++ b/include/kingcuptiller/relay/region_shares.h
@@ -4,9 +4,9 @@
 #include "kingcuptiller/values/time.h"
 
 #include <compare>
-#include <cstddef>
 #include <map>
-#include <string>
+#include <random>
+#include <vector>
 
 namespace kingcuptiller {
 
@@ -55,8 +55,9 @@
 class region_shares
 {
 public:
-    explicit region_shares(shift_cap cap)
+    region_shares(shift_cap cap, std::minstd_rand random)
         : m_cap(cap)
+        , m_random(random)
     {
     }
 
@@ -67,6 +68,11 @@
     void setSlots(const region_weights &slots);
 
     [[nodiscard]] bool mayTake(const region_name &region) const;
+    // So few requests come that one of them outweighs what a region may take beyond its share. Then
+    // `draw` decides, so that the requests of many entries keep the shares together.
+    [[nodiscard]] bool isSparse() const;
+    // A region with the probability of its share; one of `regions` when these are given.
+    [[nodiscard]] region_name draw(std::vector<region_name> regions = {});
     // How far a region is beyond its share: 0 up to its share, 1 where it may take no more.
     [[nodiscard]] double pressure(const region_name &region) const;
 
@@ -100,6 +106,7 @@
     instant m_last;
     // Requests in about the last window.
     double m_recent = 0;
+    std::minstd_rand m_random;
 };
 
 } // namespace kingcuptiller
--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -193,8 +193,8 @@
     // What requests of one service usually take at an idle upstream.
     struct service_record
     {
-        explicit service_record(shift_cap cap)
-            : shares(cap)
+        service_record(shift_cap cap, std::minstd_rand random)
+            : shares(cap, random)
         {
         }
 
@@ -240,6 +240,10 @@
     // The options that serve the request in time, by region.
     [[nodiscard]] static std::map<region_name, choice_option>
     timelyOptions(const service_survey &found, const choice_request &request);
+    // The option that takes a request, or nothing when none of their regions may.
+    [[nodiscard]] static const choice_option *
+    withinCap(region_shares &shares, const std::map<region_name, choice_option> &options,
+              bool isRepeat);
     void beginShares(service_record &service, instant now);
     // Slots of upstreams that are neither evacuated, nor cold, nor lost.
     [[nodiscard]] region_weights usableSlots(const service_record &service, instant now) const;
--- a/src/relay/region_shares.cpp
+++ b/src/relay/region_shares.cpp
@@ -12,9 +12,11 @@
 // entries whose traffic changes.
 constexpr double movementShare = 0.65;
 // A region may get this part of a window's requests beyond its share, or the number below where
-// that is more, so that the choice of an upstream is not forced at every request.
+// that is more, so that the choice of an upstream is not forced at every request. Where requests
+// are few the number would be most of them, so it is no more than the second part.
 constexpr double toleranceShare = 0.03;
-constexpr double leastToleranceRequests = 2;
+constexpr double usualToleranceRequests = 2;
+constexpr double largestToleranceShare = 0.1;
 // Weight of the newest request in where requests would best go.
 constexpr double preferenceWeight = 0.05;
 
@@ -89,7 +91,8 @@
 
 double region_shares::tolerance() const
 {
-    return std::max(leastToleranceRequests, m_recent * toleranceShare);
+    return std::max(std::min(usualToleranceRequests, m_recent * largestToleranceShare),
+                    m_recent * toleranceShare);
 }
 
 bool region_shares::mayTake(const region_name &region) const
@@ -98,12 +101,35 @@
     return found != m_regions.end() && found->second.due + found->second.share - 1 >= -tolerance();
 }
 
+bool region_shares::isSparse() const
+{
+    return tolerance() < 1;
+}
+
+region_name region_shares::draw(std::vector<region_name> regions)
+{
+    if (regions.empty()) {
+        for (const auto &[region, record] : m_regions)
+            regions.push_back(region);
+    }
+    double sum = 0;
+    for (const region_name &region : regions)
+        sum += shareOf(region);
+    double place = std::uniform_real_distribution<double>(0, 1)(m_random) * sum;
+    for (const region_name &region : regions) {
+        place -= shareOf(region);
+        if (place < 0)
+            return region;
+    }
+    return regions.back();
+}
+
 double region_shares::pressure(const region_name &region) const
 {
     const auto found = m_regions.find(region);
     if (found == m_regions.end())
         return 1;
-    return std::clamp(-found->second.due / tolerance(), 0.0, 1.0);
+    return std::clamp(-found->second.due / std::max(tolerance(), 1.0), 0.0, 1.0);
 }
 
 void region_shares::moveTowardsPreference(double seconds)
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -109,7 +109,10 @@
         record.region = region == m_settings.regions.end() ? region_name() : region->second;
         record.evacuated = view.evacuated.contains(life.zone);
         service_record &service =
-            m_services.try_emplace(life.service, m_settings.shift).first->second;
+            m_services
+                .try_emplace(life.service, m_settings.shift,
+                             std::minstd_rand(static_cast<std::uint32_t>(m_settings.entrySeed)))
+                .first->second;
         if (const service_settings *settings = routes.service(life.service)) {
             service.coldRequestsPerSecond = settings->coldRequestsPerSecond;
             service.coldTime = settings->coldTime;
@@ -325,6 +328,33 @@
     return result;
 }
 
+const upstream_choice::choice_option *
+upstream_choice::withinCap(region_shares &shares,
+                           const std::map<region_name, choice_option> &options, bool isRepeat)
+{
+    if (shares.isSparse()) {
+        std::vector<region_name> regions;
+        for (const auto &[region, option] : options) {
+            if (isRepeat)
+                regions.push_back(region);
+        }
+        const auto drawn = options.find(shares.draw(std::move(regions)));
+        return drawn == options.end() ? nullptr : &drawn->second;
+    }
+    const choice_option *taken = nullptr;
+    double takenCost = std::numeric_limits<double>::max();
+    for (const auto &[region, option] : options) {
+        if (!shares.mayTake(region))
+            continue;
+        const double cost = option.cost + shares.pressure(region) * pressureMs;
+        if (cost < takenCost) {
+            taken = &option;
+            takenCost = cost;
+        }
+    }
+    return taken;
+}
+
 std::optional<chosen_upstream> upstream_choice::choose(const choice_request &request, instant now,
                                                        no_choice &reason)
 {
@@ -342,28 +372,22 @@
     const auto options = timelyOptions(survey(service, request, now), request);
     // A request that is bound to one region has no other to move to.
     const bool isBound = request.regions.size() == 1;
-    const std::pair<const region_name, choice_option> *preferred = nullptr;
-    const std::pair<const region_name, choice_option> *taken = nullptr;
-    double takenCost = std::numeric_limits<double>::max();
-    for (const auto &option : options) {
-        if (preferred == nullptr || option.second.cost < preferred->second.cost)
-            preferred = &option;
-        if (!isBound && !shares.mayTake(option.first))
-            continue;
-        const double cost = option.second.cost + shares.pressure(option.first) * pressureMs;
-        if (cost < takenCost) {
-            taken = &option;
-            takenCost = cost;
-        }
-    }
+    const auto preferred =
+        std::min_element(options.begin(), options.end(), [](const auto &one, const auto &other) {
+            return one.second.cost < other.second.cost;
+        });
+    const choice_option *taken = nullptr;
+    if (preferred != options.end())
+        taken = isBound ? &preferred->second
+                        : withinCap(shares, options, request.formerRegion.has_value());
     if (taken == nullptr) {
-        reason.shiftCapped = preferred != nullptr;
+        reason.shiftCapped = preferred != options.end();
         shares.refused(now);
         return std::nullopt;
     }
+    const choice_option &best = *taken;
     if (!isBound)
-        shares.decided(preferred->first, taken->first, now);
-    const choice_option &best = taken->second;
+        shares.decided(preferred->first, best.upstream->region, now);
     return chosen_upstream{best.upstream->life, best.upstream->region,
                            milliseconds(std::llround(best.expectedMs)),
                            milliseconds(std::llround(best.queuedMs)),
--- a/tests/relay/region_shares_test.cpp
+++ b/tests/relay/region_shares_test.cpp
@@ -55,7 +55,7 @@
     }
 
     instant now{std::chrono::seconds(100)};
-    region_shares shares{{0.15, milliseconds(2'000)}};
+    region_shares shares{{0.15, milliseconds(2'000)}, std::minstd_rand(1)};
 };
 
 } // namespace
@@ -68,6 +68,7 @@
     CPPUNIT_TEST(lostUpstreamsReleaseTheirShareAtOnce);
     CPPUNIT_TEST(upstreamsThatReturnTakeNothingAtOnce);
     CPPUNIT_TEST(refusedRequestsDoNotHoldUpTheOthers);
+    CPPUNIT_TEST(fewRequestsOfManyEntriesKeepTheShares);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -131,6 +132,24 @@
         CPPUNIT_ASSERT(world.shares.mayTake(home) || world.shares.mayTake(far));
         CPPUNIT_ASSERT(world.send(200, far) > 0.4);
     }
+
+    // Guards against many entries with a request each that all use their tolerance.
+    void fewRequestsOfManyEntriesKeepTheShares()
+    {
+        const instant now{std::chrono::seconds(100)};
+        constexpr std::uint32_t entries = 200;
+        int wentFar = 0;
+        for (std::uint32_t entry = 1; entry <= entries; ++entry) {
+            region_shares shares({0.15, milliseconds(2'000)}, std::minstd_rand(entry * 7'919));
+            shares.begin({{home, 0.8}, {far, 0.2}}, now);
+            shares.setSlots({{home, 10}, {far, 10}});
+            CPPUNIT_ASSERT(shares.isSparse());
+            const region_name taken = shares.draw();
+            wentFar += taken == far ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(wentFar), wentFar <= 0.35 * entries);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(wentFar), wentFar >= 0.1 * entries);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(region_shares_test);
