Keep the shares of regions while a service has no upstream at all

What callers saw: nothing yet; found when the change was read again.

Cause: lost slots released their share although there was no region to take it, so the shares summed to nothing.

Change: shares and slots stay as they are until some upstream is usable. Evidence: serviceThatWasLostAsAWholeIsUsedAtOnce failed before.

--- a/include/kingcuptiller/relay/region_flows.h
+++ b/include/kingcuptiller/relay/region_flows.h
@@ -10,7 +10,7 @@
 
 namespace kingcuptiller {
 
-// Requests of one service that one entry sent to one region, or refused, since the last report.
+// Requests of one service that one entry sent to one region since the last report.
 struct region_flow
 {
     service_name service;
--- a/src/relay/region_shares.cpp
+++ b/src/relay/region_shares.cpp
@@ -68,25 +68,26 @@
 
 void region_shares::setSlots(const region_weights &slots)
 {
-    double displaced = 0;
     double remaining = 0;
+    for (const auto &[name, present] : slots) {
+        m_regions.try_emplace(name);
+        remaining += present;
+    }
+    double displaced = 0;
     for (auto &[name, region] : m_regions) {
         const auto given = slots.find(name);
         const double present = given == slots.end() ? 0 : given->second;
-        if (present < region.slots) {
+        // Where nothing remains, there is nothing to move to.
+        if (present < region.slots && remaining > 0) {
             const double lost = region.share * (1 - present / region.slots);
             region.share -= lost;
             displaced += lost;
         }
-        region.slots = present;
-        remaining += present;
+        if (remaining > 0)
+            region.slots = present;
     }
-    for (const auto &[name, present] : slots)
-        m_regions[name].slots = present;
-    if (displaced <= 0 || remaining <= 0)
-        return;
     for (auto &[name, region] : m_regions)
-        region.share += displaced * region.slots / remaining;
+        region.share += displaced > 0 ? displaced * region.slots / remaining : 0;
 }
 
 double region_shares::tolerance() const
--- a/tests/relay/region_shares_test.cpp
+++ b/tests/relay/region_shares_test.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(sharesFollowTheWishNoFasterThanTheCap);
     CPPUNIT_TEST(lostUpstreamsReleaseTheirShareAtOnce);
     CPPUNIT_TEST(upstreamsThatReturnTakeNothingAtOnce);
+    CPPUNIT_TEST(serviceThatWasLostAsAWholeIsUsedAtOnce);
     CPPUNIT_TEST(refusedRequestsDoNotHoldUpTheOthers);
     CPPUNIT_TEST(fewRequestsOfManyEntriesKeepTheShares);
     CPPUNIT_TEST_SUITE_END();
@@ -100,6 +101,16 @@
         CPPUNIT_ASSERT(before > 0.9);
     }
 
+    // Guards against refusals for seconds after all upstreams of a service were lost for a moment.
+    void serviceThatWasLostAsAWholeIsUsedAtOnce()
+    {
+        share_world world({{home, 1}, {far, 0}});
+        world.send(200, home);
+        world.shares.setSlots({});
+        world.shares.setSlots({{home, 10}, {far, 10}});
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, world.send(200, home), 1e-9);
+    }
+
     // Guards against requests that are refused because the region that they used is gone.
     void lostUpstreamsReleaseTheirShareAtOnce()
     {
