--- a/tests/relay/endless_answer_test.cpp
+++ b/tests/relay/endless_answer_test.cpp
@@ -1,3 +1,4 @@
+#include "kingcuptiller/relay/request_relay.h"
 #include "tests/relay/relay_world.h"
 
 #include <boost/asio/ip/tcp.hpp>
--- a/tests/relay/region_shares_test.cpp
+++ b/tests/relay/region_shares_test.cpp
@@ -148,9 +148,9 @@
     void fewRequestsOfManyEntriesKeepTheShares()
     {
         const instant now{std::chrono::seconds(100)};
-        constexpr std::uint32_t entries = 200;
+        constexpr std::uint64_t entries = 200;
         int wentFar = 0;
-        for (std::uint32_t entry = 1; entry <= entries; ++entry) {
+        for (std::uint64_t entry = 1; entry <= entries; ++entry) {
             region_shares shares({0.15, milliseconds(2'000)}, std::minstd_rand(entry * 7'919));
             shares.begin({{home, 0.8}, {far, 0.2}}, now);
             shares.setSlots({{home, 10}, {far, 10}});
--- a/tests/relay/region_shift_test.cpp
+++ b/tests/relay/region_shift_test.cpp
@@ -46,8 +46,8 @@
     explicit shift_world(const shift_case &scenario)
         : m_case(scenario)
     {
-        configuration.services = {{lookups, 390, milliseconds(3'000), 8}};
-        m_routes = route_table(configuration);
+        m_configuration.services = {{lookups, 390, milliseconds(3'000), 8}};
+        m_routes = route_table(m_configuration);
         for (std::size_t region = 0; region < scenario.upstreams.size(); ++region)
             add(region, scenario.upstreams[region]);
         for (std::size_t region = 0; region < scenario.upstreams.size(); ++region) {
@@ -235,7 +235,7 @@
     }
 
     const shift_case &m_case;
-    traffic_configuration configuration;
+    traffic_configuration m_configuration;
     fleet_view m_view;
     route_table m_routes;
     std::mt19937 m_random{42};
