--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -35,9 +35,6 @@
 constexpr double mostRankMs = 600;
 // A silent upstream is used only when nothing else is there.
 constexpr double silencePenaltyMs = 2'000;
-// What it costs to use a region that has got almost all that it may take, so that the requests that
-// lose least by it go elsewhere.
-constexpr double pressureMs = 600;
 // An upstream that joined knows no objects and would get nothing while the others have room, so its
 // first request is sent to it regardless.
 constexpr double untriedBonusMs = 5'000;
@@ -211,28 +208,6 @@
     return now < upstream.coldUntil ? work * coldFactor : work;
 }
 
-void upstream_choice::beginShares(service_record &service, instant now)
-{
-    std::map<region_name, region_capacity> regions;
-    for (const auto &[region, entries] : m_entriesByRegion)
-        regions[region].entries = entries;
-    const region_weights slots = usableSlots(service, now);
-    for (const auto &[region, count] : slots)
-        regions[region].slots = count;
-    service.shares.begin(initialShares(m_settings.region, regions), now);
-}
-
-region_weights upstream_choice::usableSlots(const service_record &service, instant now) const
-{
-    region_weights slots;
-    for (const upstream_id &id : service.members) {
-        const upstream_record &upstream = m_upstreams.at(id);
-        if (!upstream.evacuated && now >= upstream.lostUntil && now >= upstream.coldUntil)
-            slots[upstream.region] += upstream.life.slots;
-    }
-    return slots;
-}
-
 void upstream_choice::refillColdTokens(upstream_record &upstream, const service_record &service,
                                        instant now) const
 {
@@ -328,33 +303,6 @@
     return result;
 }
 
-const upstream_choice::choice_option *
-upstream_choice::withinCap(region_shares &shares,
-                           const std::map<region_name, choice_option> &options, bool isRepeat)
-{
-    if (shares.isSparse()) {
-        std::vector<region_name> regions;
-        for (const auto &[region, option] : options) {
-            if (isRepeat)
-                regions.push_back(region);
-        }
-        const auto drawn = options.find(shares.draw(std::move(regions)));
-        return drawn == options.end() ? nullptr : &drawn->second;
-    }
-    const choice_option *taken = nullptr;
-    double takenCost = std::numeric_limits<double>::max();
-    for (const auto &[region, option] : options) {
-        if (!shares.mayTake(region))
-            continue;
-        const double cost = option.cost + shares.pressure(region) * pressureMs;
-        if (cost < takenCost) {
-            taken = &option;
-            takenCost = cost;
-        }
-    }
-    return taken;
-}
-
 std::optional<chosen_upstream> upstream_choice::choose(const choice_request &request, instant now,
                                                        no_choice &reason)
 {
