Send a view once to an entry that is still receiving it

Cause: a control host took what an entry reports of its view for what the entry will have. A presence that crosses a view on its way is older than that view, so the whole document was encoded and sent again: 54 times for 31 entries, by hosts with 0.15 of a core.

Ruled out: the commit (all control hosts applied it in 0.4 s), lost connections (none in that time).

Change: what was sent on a connection counts, as it arrives in order or the connection ends; only the first presence on a connection tells where the entry is. A presence that is behind what was sent is answered current.

Test: presenceThatCrossesAViewDoesNotRepeatIt failed before (10 documents for one); the other new test passes on both.

--- a/include/kingcuptiller/node/control_node.h
+++ b/include/kingcuptiller/node/control_node.h
@@ -87,13 +87,12 @@
         instant dialAgain;
     };
 
-    // An entry that is told of changes.
+    // An entry that is told of changes, and the view that it has once it has read all that was sent.
     struct entry_feed
     {
         std::shared_ptr<frame_connection> connection;
         revision_number version;
         std::uint64_t commands = 0;
-        std::optional<serving_entry> entry;
     };
 
     void openReplica(bool founding);
--- a/src/node/control_links.cpp
+++ b/src/node/control_links.cpp
@@ -189,10 +189,14 @@
                                 const std::string &body)
 {
     const Json::Value object = internal::parsed(body);
-    entry_feed &feed = m_entries[connection.get()];
-    feed.connection = connection;
-    feed.version = revision_number(internal::numberField(object, "version"));
-    feed.commands = internal::numberField(object, "commands");
+    const auto [place, isNew] = m_entries.try_emplace(connection.get());
+    entry_feed &feed = place->second;
+    // Later presences may cross a view that is on its way; what was sent in order arrives.
+    if (isNew) {
+        feed.connection = connection;
+        feed.version = revision_number(internal::numberField(object, "version"));
+        feed.commands = internal::numberField(object, "commands");
+    }
     const std::string entry = internal::textField(object, "entry");
     if (!entry.empty())
         passOn({internal::flagField(object, "serving") ? "entry" : "entry_gone", entry},
--- /dev/null
+++ b/tests/node/control_node_test.cpp
@@ -0,0 +1,204 @@
+#include "kingcuptiller/node/control_node.h"
+#include "kingcuptiller/transport/free_port.h"
+#include "kingcuptiller/transport/system_clock.h"
+
+#include "../../src/consensus/peer_json.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <memory>
+#include <random>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+using namespace kingcuptiller;
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t routes = 1'700;
+
+// A configuration in the manner of an operator's: many routes that differ by little.
+std::string documentOf(std::size_t count)
+{
+    std::string text = "{\"routes\":[";
+    for (std::size_t i = 0; i < count; ++i)
+        text += std::string(i == 0 ? "" : ",") + R"({"name":"route-)" + std::to_string(i)
+            + R"(","host":"a.example","path":"/extra/)" + std::to_string(i)
+            + R"(/","methods":["GET","PUT"],"class":"reads","timeout_ms":1500,"service":"orders"})";
+    return text + "]}";
+}
+
+// An entry's end of a connection to a control host.
+class fake_entry
+{
+public:
+    fake_entry(asio::io_context &context, const asio::ip::tcp::endpoint &host)
+    {
+        asio::ip::tcp::socket socket(context);
+        socket.connect(host);
+        m_connection = std::make_shared<frame_connection>(std::move(socket));
+        m_connection->start([this](const frame &received) { note(received); }, [] {});
+    }
+
+    // Tells the host which view this entry has; `behind`, that it has none yet.
+    void sendPresence(bool behind = false)
+    {
+        Json::Value object;
+        object["version"] = Json::UInt64(behind ? 0 : view.version.number());
+        object["commands"] = Json::UInt64(behind ? 0 : view.commands);
+        object["serving"] = false;
+        object["entry"] = "";
+        m_connection->send(frame_kind::presence, internal::written(object));
+    }
+
+    fleet_view view;
+    std::vector<std::string> documents;
+    std::size_t viewBytes = 0;
+    int currents = 0;
+
+private:
+    void note(const frame &received)
+    {
+        if (received.kind == frame_kind::current)
+            ++currents;
+        if (received.kind != frame_kind::view)
+            return;
+        viewBytes += received.body.size();
+        const fleet_difference difference = decodeFleetDifference(received.body);
+        if (!difference.document.empty())
+            documents.push_back(difference.document);
+        view = applied(view, difference);
+    }
+
+    std::shared_ptr<frame_connection> m_connection;
+};
+
+// A fleet of one control host.
+struct control_world
+{
+    control_world()
+        : node(context, options(), counters)
+    {
+    }
+    ~control_world() { std::filesystem::remove_all(folder); }
+    control_world(const control_world &) = delete;
+    control_world &operator=(const control_world &) = delete;
+
+    control_node_options options()
+    {
+        if (::mkdtemp(folder.data()) == nullptr)
+            throw std::runtime_error("cannot make a temporary folder");
+        control_node_options result;
+        result.host = host_id("127.0.0.5");
+        result.port = port;
+        result.seeds = {result.host};
+        result.founding = true;
+        result.dataFolder = folder;
+        result.now = readInstant;
+        result.random = [] { return std::uint64_t{std::random_device()()}; };
+        return result;
+    }
+
+    template <typename Condition>
+    bool reaches(const Condition &condition)
+    {
+        for (int round = 0; round < 1'000 && !condition(); ++round)
+            context.run_for(std::chrono::milliseconds(10));
+        return condition();
+    }
+
+    // Orders a configuration until it is accepted.
+    bool configure(std::uint64_t version, const std::string &document)
+    {
+        result_code code = result_code::not_leader;
+        for (int attempt = 0; attempt < 50 && code != result_code::ok; ++attempt) {
+            bool answered = false;
+            asio::co_spawn(
+                context,
+                [&]() -> asio::awaitable<void> {
+                    fleet_command command = configure_command{
+                        revision_number(version), revision_number(version - 1), document};
+                    code = co_await node.order(std::move(command));
+                    answered = true;
+                },
+                asio::detached);
+            reaches([&] { return answered; });
+            context.run_for(std::chrono::milliseconds(20));
+        }
+        return code == result_code::ok;
+    }
+
+    asio::ip::tcp::endpoint address() const { return {asio::ip::make_address("127.0.0.5"), port}; }
+
+    std::string folder = std::filesystem::temp_directory_path() / "kct-node-XXXXXX";
+    asio::io_context context;
+    std::uint16_t port = findFreePort();
+    counter_registry counters;
+    control_node node;
+};
+
+} // namespace
+
+class control_node_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(control_node_test);
+    CPPUNIT_TEST(presenceThatCrossesAViewDoesNotRepeatIt);
+    CPPUNIT_TEST(entryThatConnectsAgainIsSentWhatItLacks);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a large configuration that is sent again to entries which are receiving it.
+    void presenceThatCrossesAViewDoesNotRepeatIt()
+    {
+        control_world world;
+        const std::string document = documentOf(routes);
+        CPPUNIT_ASSERT(world.configure(1, document));
+        fake_entry entry(world.context, world.address());
+        constexpr int presences = 10;
+        for (int i = 0; i < presences; ++i)
+            entry.sendPresence(true);
+        // Each is answered, so that the entry doesn't take the host for frozen.
+        CPPUNIT_ASSERT(world.reaches([&] {
+            return entry.currents + static_cast<int>(entry.documents.size()) >= presences;
+        }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, entry.documents.size());
+        CPPUNIT_ASSERT(document == entry.documents.front());
+
+        const std::string next = documentOf(routes + 1);
+        CPPUNIT_ASSERT(world.configure(2, next));
+        entry.sendPresence();
+        CPPUNIT_ASSERT(world.reaches([&] { return entry.documents.size() > 1; }));
+        world.context.run_for(std::chrono::milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, entry.documents.size());
+        CPPUNIT_ASSERT(next == entry.documents.back());
+    }
+
+    void entryThatConnectsAgainIsSentWhatItLacks()
+    {
+        control_world world;
+        CPPUNIT_ASSERT(world.configure(1, documentOf(1)));
+        fake_entry first(world.context, world.address());
+        first.sendPresence();
+        CPPUNIT_ASSERT(world.reaches([&] { return first.documents.size() == 1; }));
+        CPPUNIT_ASSERT(world.configure(2, documentOf(2)));
+        CPPUNIT_ASSERT(world.reaches([&] { return first.documents.size() == 2; }));
+
+        fake_entry again(world.context, world.address());
+        again.view = first.view;
+        again.sendPresence();
+        CPPUNIT_ASSERT(world.reaches([&] { return again.currents == 1; }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, again.documents.size());
+        CPPUNIT_ASSERT(world.configure(3, documentOf(3)));
+        CPPUNIT_ASSERT(world.reaches([&] { return again.documents.size() == 1; }));
+        CPPUNIT_ASSERT(documentOf(3) == again.documents.front());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(control_node_test);
