--- a/include/kingcuptiller/relay/region_shares.h
+++ b/include/kingcuptiller/relay/region_shares.h
@@ -71,7 +71,8 @@
     // So few requests come that one of them outweighs what a region may take beyond its share. Then
     // `draw` decides, so that the requests of many entries keep the shares together.
     [[nodiscard]] bool isSparse() const;
-    // A region with the probability of its share; one of `regions` when these are given.
+    // A region with the probability of its share, corrected by what it got too little or too much
+    // lately; one of `regions` when these are given.
     [[nodiscard]] region_name draw(std::vector<region_name> regions = {});
     // How far a region is beyond its share: 0 up to its share, 1 where it may take no more.
     [[nodiscard]] double pressure(const region_name &region) const;
@@ -100,6 +101,7 @@
     void advance(instant now);
     void moveTowardsPreference(double seconds);
     [[nodiscard]] double tolerance() const;
+    [[nodiscard]] double drawWeight(const region_name &region) const;
 
     shift_cap m_cap;
     std::map<region_name, region_record> m_regions;
--- a/include/kingcuptiller/relay/request_relay.h
+++ b/include/kingcuptiller/relay/request_relay.h
@@ -32,8 +32,8 @@
     // Time that an answer needs on its way back to the client.
     milliseconds answerReserve{20};
     milliseconds connectLimit{1'000};
-    // Bytes of an answer's body as they are sent, with the framing of chunks; an upstream that sends
-    // more is not read any further.
+    // Bytes of an answer's body as they are sent, with the framing of chunks; an upstream that
+    // sends more is not read any further.
     std::uint64_t largestAnswer = 8'388'608;
     std::function<instant()> now;
 };
--- a/src/relay/region_shares.cpp
+++ b/src/relay/region_shares.cpp
@@ -19,6 +19,10 @@
 constexpr double largestToleranceShare = 0.1;
 // Weight of the newest request in where requests would best go.
 constexpr double preferenceWeight = 0.05;
+// How strongly a draw makes up for what a region got too little or too much. Some requests can be
+// served by few regions only and are refused when another is drawn, so that draws by the shares
+// alone favour these few.
+constexpr double drawCorrection = 3;
 
 } // namespace
 
@@ -115,16 +119,25 @@
     }
     double sum = 0;
     for (const region_name &region : regions)
-        sum += shareOf(region);
+        sum += drawWeight(region);
     double place = std::uniform_real_distribution<double>(0, 1)(m_random) * sum;
     for (const region_name &region : regions) {
-        place -= shareOf(region);
+        place -= drawWeight(region);
         if (place < 0)
             return region;
     }
     return regions.back();
 }
 
+double region_shares::drawWeight(const region_name &region) const
+{
+    const auto found = m_regions.find(region);
+    if (found == m_regions.end())
+        return 0;
+    const double missing = found->second.due / std::max(m_recent, 1.0);
+    return std::max(found->second.share + missing * drawCorrection, 0.0);
+}
+
 double region_shares::pressure(const region_name &region) const
 {
     const auto found = m_regions.find(region);
--- a/src/relay/upstream_connections.cpp
+++ b/src/relay/upstream_connections.cpp
@@ -105,7 +105,8 @@
     return echoed == answer.end() || echoed->value() == request[headers.requestId];
 }
 
-// Reads one answer. The bytes on the wire are bounded, as chunks may carry far more framing than body.
+// Reads one answer. The bytes on the wire are bounded, as chunks may carry far more framing than
+// body.
 asio::awaitable<error_code> readAnswer(std::shared_ptr<upstream_connection> connection,
                                        http::response_parser<http::string_body> &parser,
                                        std::uint64_t mostBytes)
--- a/tests/relay/region_shares_test.cpp
+++ b/tests/relay/region_shares_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <map>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -70,6 +71,7 @@
     CPPUNIT_TEST(serviceThatWasLostAsAWholeIsUsedAtOnce);
     CPPUNIT_TEST(refusedRequestsDoNotHoldUpTheOthers);
     CPPUNIT_TEST(fewRequestsOfManyEntriesKeepTheShares);
+    CPPUNIT_TEST(fewRequestsThatOnlyHomeCanServeDoNotMoveTheShares);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -161,6 +163,42 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(wentFar), wentFar <= 0.35 * entries);
         CPPUNIT_ASSERT_MESSAGE(std::to_string(wentFar), wentFar >= 0.1 * entries);
     }
+
+    // Guards against requests with little time left, which other regions cannot serve, raising
+    // home's part of the requests that run at entries with few requests.
+    void fewRequestsThatOnlyHomeCanServeDoNotMoveTheShares()
+    {
+        constexpr int entries = 100;
+        constexpr int requests = 40;
+        const region_weights begin{{home, 0.3}, {near, 0.3}, {far, 0.4}};
+        int ran = 0;
+        int ranHome = 0;
+        for (int entry = 1; entry <= entries; ++entry) {
+            std::minstd_rand random(static_cast<std::uint32_t>(entry * 104'729));
+            std::bernoulli_distribution onlyHome(0.6);
+            std::discrete_distribution<std::size_t> best{0.3, 0.3, 0.4};
+            region_shares shares({0.15, milliseconds(2'000)},
+                                 std::minstd_rand(static_cast<std::uint32_t>(entry * 7'919)));
+            instant now{std::chrono::seconds(100)};
+            shares.begin(begin, now);
+            shares.setSlots({{home, 10}, {near, 10}, {far, 10}});
+            for (int i = 0; i < requests; ++i) {
+                now += milliseconds(300);
+                CPPUNIT_ASSERT(shares.isSparse());
+                const region_name drawn = shares.draw();
+                if (drawn != home && onlyHome(random)) {
+                    shares.refused(now);
+                    continue;
+                }
+                const std::vector<region_name> regions{home, near, far};
+                shares.decided(regions[best(random)], drawn, now);
+                ++ran;
+                ranHome += drawn == home ? 1 : 0;
+            }
+        }
+        const double homeShare = static_cast<double>(ranHome) / ran;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(homeShare), homeShare <= 0.3 + 0.15);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(region_shares_test);
