Encode a view once for all entries that are in step

Cause: each entry's view was encoded by itself, half a megabyte of text each time.

Ruled out: the commit (all control hosts applied the version before), repeated sending (mended before).

Change: the control host keeps the view that it encoded last; entries that have the same state get the same bytes. Since what was sent counts, entries of a host are in step after their first view. kct_control_views_encoded counts.

--- a/include/kingcuptiller/node/control_node.h
+++ b/include/kingcuptiller/node/control_node.h
@@ -87,7 +87,8 @@
         instant dialAgain;
     };
 
-    // An entry that is told of changes, and the view that it has once it has read all that was sent.
+    // An entry that is told of changes, and the view that it has once it has read all that was
+    // sent.
     struct entry_feed
     {
         std::shared_ptr<frame_connection> connection;
@@ -95,6 +96,16 @@
         std::uint64_t commands = 0;
     };
 
+    // The view that was encoded last, and between which states it leads.
+    struct encoded_view
+    {
+        std::uint64_t since = 0;
+        revision_number sinceVersion;
+        std::uint64_t commands = 0;
+        std::vector<replica_identity> voters;
+        std::string body;
+    };
+
     void openReplica(bool founding);
     void round();
     void scheduleRound();
@@ -138,6 +149,8 @@
     // The state held everything that the present leader knows at the end of the last round.
     bool m_current = false;
     instant m_viewsDue;
+    encoded_view m_newestView;
+    counter &m_viewsEncoded;
 
     std::map<host_id, peer_link> m_peers;
     std::map<frame_connection *, entry_feed> m_entries;
--- a/src/node/control_links.cpp
+++ b/src/node/control_links.cpp
@@ -223,12 +223,21 @@
 
 void control_node::sendView(entry_feed &feed)
 {
-    fleet_difference difference = m_control->differenceSince(feed.commands, feed.version);
-    for (const replica_identity &voter : m_replica->status().members.voters)
-        difference.controlHosts.push_back(voter.host);
-    feed.version = difference.version;
-    feed.commands = difference.commands;
-    feed.connection->send(frame_kind::view, encodeFleetDifference(difference));
+    const std::uint64_t commands = m_control->state().commands();
+    const auto voters = m_replica->status().members.voters;
+    // Entries that are in step get the same bytes.
+    if (m_newestView.since != feed.commands || m_newestView.sinceVersion != feed.version
+        || m_newestView.commands != commands || m_newestView.voters != voters) {
+        fleet_difference difference = m_control->differenceSince(feed.commands, feed.version);
+        for (const replica_identity &voter : voters)
+            difference.controlHosts.push_back(voter.host);
+        m_newestView = {feed.commands, feed.version, commands, voters,
+                        encodeFleetDifference(difference)};
+        m_viewsEncoded.add();
+    }
+    feed.version = m_control->state().version();
+    feed.commands = commands;
+    feed.connection->send(frame_kind::view, m_newestView.body);
 }
 
 } // namespace kingcuptiller
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -24,6 +24,7 @@
     , m_acceptor(
           openListener(context, {asio::ip::make_address(m_options.host.text()), m_options.port}))
     , m_tick(context)
+    , m_viewsEncoded(counters.get("kct_control_views_encoded"))
 {
     m_options.replicas.hosts = m_options.seeds;
     m_options.replicas.maximumVoters = m_options.maximumVoters;
@@ -40,6 +41,7 @@
 void control_node::openReplica(bool founding)
 {
     m_replica.reset();
+    m_newestView = {};
     m_control = std::make_unique<fleet_control>(
         m_options.fleet,
         fleet_control_hooks{[this](const std::string &text) -> std::optional<fleet_log_place> {
--- a/tests/node/control_node_test.cpp
+++ b/tests/node/control_node_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <memory>
@@ -151,6 +152,7 @@
     CPPUNIT_TEST_SUITE(control_node_test);
     CPPUNIT_TEST(presenceThatCrossesAViewDoesNotRepeatIt);
     CPPUNIT_TEST(entryThatConnectsAgainIsSentWhatItLacks);
+    CPPUNIT_TEST(entriesInStepShareOneEncodedView);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -199,6 +201,34 @@
         CPPUNIT_ASSERT(world.reaches([&] { return again.documents.size() == 1; }));
         CPPUNIT_ASSERT(documentOf(3) == again.documents.front());
     }
+
+    // Guards against the time that a slow host needs for a large configuration growing with the
+    // number of entries.
+    void entriesInStepShareOneEncodedView()
+    {
+        control_world world;
+        CPPUNIT_ASSERT(world.configure(1, documentOf(1)));
+        constexpr std::size_t entryCount = 12;
+        std::vector<std::unique_ptr<fake_entry>> entries;
+        for (std::size_t i = 0; i < entryCount; ++i) {
+            entries.push_back(std::make_unique<fake_entry>(world.context, world.address()));
+            entries.back()->sendPresence();
+        }
+        const auto allHave = [&](std::size_t documents) {
+            return std::all_of(entries.begin(), entries.end(), [&](const auto &each) {
+                return each->documents.size() == documents;
+            });
+        };
+        CPPUNIT_ASSERT(world.reaches([&] { return allHave(1); }));
+        const counter &encoded = world.counters.get("kct_control_views_encoded");
+        const std::uint64_t before = encoded.value();
+        const std::string document = documentOf(routes);
+        CPPUNIT_ASSERT(world.configure(2, document));
+        CPPUNIT_ASSERT(world.reaches([&] { return allHave(2); }));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, encoded.value() - before);
+        for (const auto &each : entries)
+            CPPUNIT_ASSERT(document == each->documents.back());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(control_node_test);
