Take what is few in the shares of regions from what comes now

Cause: the number of recent requests, from which the tolerance of each entry follows, was that of the window before. Traffic had fallen from 280 to 9 requests a window and entry, so each could send two or three of its few requests home beyond the share, and all ten did. It was also taken as of the last request, not of the present one.

Ruled out: entries that were started again (none was), repeats (none in that window).

Change: time passes before a decision, and the number of recent requests is bounded by what the newest eighth of a window tells. The correction of draws uses the same number.

--- a/include/kingcuptiller/relay/region_shares.h
+++ b/include/kingcuptiller/relay/region_shares.h
@@ -64,6 +64,8 @@
     [[nodiscard]] bool hasBegun() const { return !m_regions.empty(); }
     void begin(const region_weights &shares, instant now);
 
+    // Called before each decision, so that it is taken by the traffic of `now`.
+    void passTime(instant now);
     // The usable slots of all regions; regions that are not named have none.
     void setSlots(const region_weights &slots);
 
@@ -98,8 +100,9 @@
         double slots = 0;
     };
 
-    void advance(instant now);
+    void countRequest();
     void moveTowardsPreference(double seconds);
+    [[nodiscard]] double recentRequests() const;
     [[nodiscard]] double tolerance() const;
     [[nodiscard]] double drawWeight(const region_name &region) const;
 
@@ -108,6 +111,8 @@
     instant m_last;
     // Requests in about the last window.
     double m_recent = 0;
+    // Requests in about the newest part of it.
+    double m_newest = 0;
     std::minstd_rand m_random;
 };
 
--- a/src/relay/region_shares.cpp
+++ b/src/relay/region_shares.cpp
@@ -23,6 +23,8 @@
 // served by few regions only and are refused when another is drawn, so that draws by the shares
 // alone favour these few.
 constexpr double drawCorrection = 3;
+// The newest part of a window. When traffic falls, what comes now decides what is few.
+constexpr double newestPart = 0.125;
 
 } // namespace
 
@@ -94,10 +96,16 @@
         region.share += displaced > 0 ? displaced * region.slots / remaining : 0;
 }
 
+double region_shares::recentRequests() const
+{
+    return std::min(m_recent, m_newest / newestPart);
+}
+
 double region_shares::tolerance() const
 {
-    return std::max(std::min(usualToleranceRequests, m_recent * largestToleranceShare),
-                    m_recent * toleranceShare);
+    const double recent = recentRequests();
+    return std::max(std::min(usualToleranceRequests, recent * largestToleranceShare),
+                    recent * toleranceShare);
 }
 
 bool region_shares::mayTake(const region_name &region) const
@@ -134,7 +142,7 @@
     const auto found = m_regions.find(region);
     if (found == m_regions.end())
         return 0;
-    const double missing = found->second.due / std::max(m_recent, 1.0);
+    const double missing = found->second.due / std::max(recentRequests(), 1.0);
     return std::max(found->second.share + missing * drawCorrection, 0.0);
 }
 
@@ -160,14 +168,14 @@
         region.share += (region.preference - region.share) * part;
 }
 
-void region_shares::advance(instant now)
+void region_shares::passTime(instant now)
 {
     const double window = std::chrono::duration<double>(m_cap.window).count();
-    const double seconds =
-        std::clamp(std::chrono::duration<double>(now - m_last).count(), 0.0, window);
+    const double seconds = std::max(std::chrono::duration<double>(now - m_last).count(), 0.0);
     m_last = std::max(m_last, now);
-    m_recent = m_recent * std::exp(-seconds / window) + 1;
-    moveTowardsPreference(seconds);
+    m_recent *= std::exp(-seconds / window);
+    m_newest *= std::exp(-seconds / (window * newestPart));
+    moveTowardsPreference(std::min(seconds, window));
     // What a region did not get for long is forgotten, or a region that cannot take its share would
     // hold up the others.
     const double kept = std::exp(-seconds / window);
@@ -179,7 +187,8 @@
 {
     for (auto &[name, region] : m_regions)
         region.preference += ((name == preferred ? 1 : 0) - region.preference) * preferenceWeight;
-    advance(now);
+    passTime(now);
+    countRequest();
     for (auto &[name, region] : m_regions)
         region.due += region.share;
     m_regions[taken].due -= 1;
@@ -187,7 +196,14 @@
 
 void region_shares::refused(instant now)
 {
-    advance(now);
+    passTime(now);
+    countRequest();
+}
+
+void region_shares::countRequest()
+{
+    m_recent += 1;
+    m_newest += 1;
 }
 
 void region_shares::withdrawn(const region_name &region)
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -314,6 +314,7 @@
     region_shares &shares = service.shares;
     if (!shares.hasBegun())
         beginShares(service, now);
+    shares.passTime(now);
     shares.setSlots(usableSlots(service, now));
     if (request.formerRegion)
         shares.withdrawn(*request.formerRegion);
