--- a/tests/relay/region_shares_test.cpp
+++ b/tests/relay/region_shares_test.cpp
@@ -84,7 +84,7 @@
     explicit few_world(const few_case &each)
         : m_case(each)
     {
-        for (std::uint32_t entry = 1; entry <= entries; ++entry) {
+        for (std::uint64_t entry = 1; entry <= entries; ++entry) {
             m_entries.emplace_back(shift_cap{0.15, window}, std::minstd_rand(entry * 7'919));
             m_entries.back().begin({{home, 0.2}, {near, 0.4}, {far, 0.4}}, m_now);
             m_entries.back().setSlots({{home, 10}, {near, 10}, {far, 10}});
@@ -139,7 +139,7 @@
         return {};
     }
 
-    static constexpr std::uint32_t entries = 100;
+    static constexpr std::uint64_t entries = 100;
     static constexpr milliseconds window{2'000};
     static inline const std::vector<region_name> regions{home, near, far};
 
