Parse what was received of an answer at once

Cause: without the parser's eager mode each piece of a chunk is a round through the event loop, a million and more for 8 MiB.

--- a/src/relay/upstream_connections.cpp
+++ b/src/relay/upstream_connections.cpp
@@ -116,6 +116,8 @@
     // The parser reserves the announced length before it compares it with the limit.
     if (!problem && !parser.is_done() && parser.content_length().value_or(0) > mostBytes)
         problem = http::error::body_limit;
+    // Otherwise each chunk would take a round through the event loop.
+    parser.eager(true);
     std::uint64_t taken = 0;
     while (!problem && !parser.is_done()) {
         taken += co_await http::async_read_some(connection->socket, connection->buffer, parser,
