End a connection whose view builds on one that the entry does not have

Callers would see an entry that stays on an old view: a control host counts on what it sent, so a view that builds on a later state than the entry's was dropped, and so was each one after it, while the host's frames still counted as signs of life.

Change: the entry drops the connection and asks again, which tells the host where it is. Test viewThatBuildsOnAnUnknownOneEndsTheConnection: waits in vain on the code before. The folders and waits of tests move into tests/support.

--- a/bench/consensus_benchmark.cpp
+++ b/bench/consensus_benchmark.cpp
@@ -1,10 +1,9 @@
 #include "kingcuptiller/consensus/peer_message.h"
 #include "kingcuptiller/storage/replica_store.h"
+#include "tests/support/temporary_folder.h"
 
 #include <benchmark/benchmark.h>
 
-#include <cstdlib>
-#include <filesystem>
 #include <memory>
 #include <string>
 
@@ -17,23 +16,6 @@
 
 constexpr std::size_t commandBytes = 300;
 
-class temporary_folder
-{
-public:
-    temporary_folder()
-    {
-        std::string name = std::filesystem::temp_directory_path() / "kct-bench-XXXXXX";
-        if (::mkdtemp(name.data()) == nullptr)
-            std::abort();
-        path = name;
-    }
-    ~temporary_folder() { std::filesystem::remove_all(path); }
-    temporary_folder(const temporary_folder &) = delete;
-    temporary_folder &operator=(const temporary_folder &) = delete;
-
-    std::string path;
-};
-
 std::unique_ptr<replica_store> openStore(const temporary_folder &folder)
 {
     return std::make_unique<replica_store>(posixDisk(folder.path),
--- a/src/node/fleet_feed.cpp
+++ b/src/node/fleet_feed.cpp
@@ -172,11 +172,14 @@
         return;
     try {
         const fleet_difference difference = decodeFleetDifference(received.body);
-        // A host that is behind must not take the entry back to an older state; one that builds on
-        // a later view than this one is told of that by the next presence.
-        if (difference.commands < m_view.commands || difference.version < m_view.version
-            || difference.since > m_view.commands)
+        // A host that is behind must not take the entry back to an older state.
+        if (difference.commands < m_view.commands || difference.version < m_view.version)
             return;
+        // The host counts on what it sent; only a new connection tells it where the entry is.
+        if (difference.since > m_view.commands) {
+            drop("view_out_of_order");
+            return;
+        }
         m_view = applied(m_view, difference);
         if (!m_view.controlHosts.empty())
             m_hosts = {m_view.controlHosts.begin(), m_view.controlHosts.end()};
--- a/tests/node/control_node_test.cpp
+++ b/tests/node/control_node_test.cpp
@@ -2,6 +2,8 @@
 #include "kingcuptiller/transport/free_port.h"
 #include "kingcuptiller/transport/system_clock.h"
 #include "kingcuptiller/values/error.h"
+#include "tests/support/run_until.h"
+#include "tests/support/temporary_folder.h"
 
 #include "../../src/consensus/peer_json.h"
 
@@ -10,11 +12,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
-#include <cstdlib>
-#include <filesystem>
 #include <memory>
 #include <random>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -89,20 +88,15 @@
         : node(context, options(), counters)
     {
     }
-    ~control_world() { std::filesystem::remove_all(folder); }
-    control_world(const control_world &) = delete;
-    control_world &operator=(const control_world &) = delete;
 
     control_node_options options()
     {
-        if (::mkdtemp(folder.data()) == nullptr)
-            throw std::runtime_error("cannot make a temporary folder");
         control_node_options result;
         result.host = host_id("127.0.0.5");
         result.port = port;
         result.seeds = {result.host};
         result.founding = true;
-        result.dataFolder = folder;
+        result.dataFolder = folder.path;
         result.now = readInstant;
         result.random = [] { return std::uint64_t{std::random_device()()}; };
         return result;
@@ -111,9 +105,7 @@
     template <typename Condition>
     bool reaches(const Condition &condition)
     {
-        for (int round = 0; round < 1'000 && !condition(); ++round)
-            context.run_for(std::chrono::milliseconds(10));
-        return condition();
+        return runUntil(context, condition);
     }
 
     // Orders a configuration until it is accepted.
@@ -139,7 +131,7 @@
 
     asio::ip::tcp::endpoint address() const { return {asio::ip::make_address("127.0.0.5"), port}; }
 
-    std::string folder = std::filesystem::temp_directory_path() / "kct-node-XXXXXX";
+    temporary_folder folder;
     asio::io_context context;
     std::uint16_t port = findFreePort();
     counter_registry counters;
--- a/tests/node/fleet_feed_test.cpp
+++ b/tests/node/fleet_feed_test.cpp
@@ -2,6 +2,7 @@
 #include "kingcuptiller/relay/http_types.h"
 #include "kingcuptiller/transport/free_port.h"
 #include "kingcuptiller/transport/system_clock.h"
+#include "tests/support/run_until.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -30,8 +31,12 @@
         accept();
     }
 
+    [[nodiscard]] std::size_t connections() const { return m_connections.size(); }
+
     host_mood mood;
     int presences = 0;
+    // What its views build on.
+    std::uint64_t since = 0;
 
 private:
     void accept()
@@ -62,6 +67,7 @@
             return;
         ++presences;
         fleet_difference view;
+        view.since = since;
         view.commands = 7;
         connection.send(frame_kind::view, encodeFleetDifference(view));
     }
@@ -88,13 +94,10 @@
     {
     }
 
-    // Whether `condition` comes true within a time that is far above all limits of the feed.
     template <typename Condition>
     bool reaches(const Condition &condition)
     {
-        for (int round = 0; round < 1'000 && !condition(); ++round)
-            context.run_for(std::chrono::milliseconds(10));
-        return condition();
+        return runUntil(context, condition);
     }
 
     asio::io_context context;
@@ -115,6 +118,7 @@
     CPPUNIT_TEST(hostThatFreezesIsLeftForACurrentOne);
     CPPUNIT_TEST(hostThatLosesItsLeaderIsLeft);
     CPPUNIT_TEST(entryWaitsUntilAnyHostIsCurrent);
+    CPPUNIT_TEST(viewThatBuildsOnAnUnknownOneEndsTheConnection);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -155,6 +159,17 @@
         world.two.mood = host_mood::current;
         CPPUNIT_ASSERT(world.reaches([&] { return world.views > 0; }));
     }
+
+    // Guards against an entry that waits for ever for what its host takes to be sent.
+    void viewThatBuildsOnAnUnknownOneEndsTheConnection()
+    {
+        feed_world world(host_mood::stale, host_mood::current, host_mood::stale);
+        world.two.since = 5;
+        CPPUNIT_ASSERT(world.reaches([&] { return world.two.connections() > 1; }));
+        CPPUNIT_ASSERT_EQUAL(0, world.views);
+        world.two.since = 0;
+        CPPUNIT_ASSERT(world.reaches([&] { return world.views > 0; }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_feed_test);
--- a/tests/storage/replica_store_test.cpp
+++ b/tests/storage/replica_store_test.cpp
@@ -1,13 +1,12 @@
 #include "kingcuptiller/storage/replica_store.h"
 #include "kingcuptiller/values/error.h"
 #include "tests/storage/fake_disk.h"
+#include "tests/support/temporary_folder.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
 #include <algorithm>
-#include <cstdlib>
-#include <filesystem>
 #include <functional>
 #include <memory>
 #include <random>
@@ -67,23 +66,6 @@
     store.sync();
 }
 
-class temporary_folder
-{
-public:
-    temporary_folder()
-    {
-        std::string name = std::filesystem::temp_directory_path() / "kct-storage-XXXXXX";
-        if (::mkdtemp(name.data()) == nullptr)
-            throw std::runtime_error("cannot make a temporary folder");
-        path = name;
-    }
-    ~temporary_folder() { std::filesystem::remove_all(path); }
-    temporary_folder(const temporary_folder &) = delete;
-    temporary_folder &operator=(const temporary_folder &) = delete;
-
-    std::string path;
-};
-
 } // namespace
 
 class replica_store_test : public CppUnit::TestFixture
