--- a/include/kingcuptiller/fleet/fleet_control.h
+++ b/include/kingcuptiller/fleet/fleet_control.h
@@ -104,8 +104,7 @@
     };
 
     void propose(const fleet_command &command, instant now, const fleet_reply &done);
-    void proposeEntry(const endpoint_address &address, const std::optional<serving_entry> &entry,
-                      instant now);
+    void proposeRoster(const roster_command &command, instant now);
     // The entry as proposed, or as committed when no proposal is on its way.
     [[nodiscard]] std::optional<serving_entry> expectedEntry(const endpoint_address &address) const;
     [[nodiscard]] bool changesRoster(const upstream_life &life) const;
@@ -120,7 +119,7 @@
     std::map<endpoint_address, instant> m_entryHeard;
     std::map<log_index, pending_command> m_pending;
     std::map<endpoint_address, entry_proposal> m_entryProposals;
-    std::uint64_t m_entryProposalCount = 0;
+    std::uint64_t m_rosterProposals = 0;
 };
 
 } // namespace kingcuptiller
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -145,20 +145,16 @@
     return known == m_state.entries().end() ? std::nullopt : std::optional(known->second);
 }
 
-void fleet_control::proposeEntry(const endpoint_address &address,
-                                 const std::optional<serving_entry> &entry, instant now)
-{
-    const std::uint64_t number = ++m_entryProposalCount;
-    m_entryProposals[address] = {number, entry};
-    roster_command command;
-    if (entry)
-        command.joined.push_back(*entry);
-    else
-        command.left.push_back(address);
-    propose(command, now, [this, address, number](result_code) {
-        const auto found = m_entryProposals.find(address);
-        if (found != m_entryProposals.end() && found->second.number == number)
-            m_entryProposals.erase(found);
+void fleet_control::proposeRoster(const roster_command &command, instant now)
+{
+    const std::uint64_t number = ++m_rosterProposals;
+    for (const serving_entry &entry : command.joined)
+        m_entryProposals[entry.address] = {number, entry};
+    for (const endpoint_address &address : command.left)
+        m_entryProposals[address] = {number, std::nullopt};
+    propose(command, now, [this, number](result_code) {
+        std::erase_if(m_entryProposals,
+                      [number](const auto &each) { return each.second.number == number; });
     });
 }
 
@@ -170,7 +166,7 @@
     if (expectedEntry(entry.address) == entry)
         return;
     log_line(log_level::info, "fleet", "entry_joined").field("entry", entry.address.text());
-    proposeEntry(entry.address, entry, now);
+    proposeRoster({{}, {entry}, {}}, now);
 }
 
 void fleet_control::removeEntry(const endpoint_address &address, instant now)
@@ -181,7 +177,7 @@
     if (!expectedEntry(address))
         return;
     log_line(log_level::info, "fleet", "entry_left").field("entry", address.text());
-    proposeEntry(address, std::nullopt, now);
+    proposeRoster({{}, {}, {address}}, now);
 }
 
 void fleet_control::tick(instant now)
@@ -206,20 +202,18 @@
         silent.upstreams.push_back(life);
         log_line(log_level::warning, "fleet", "upstream_silent").field("upstream", id.text());
     }
-    std::vector<endpoint_address> silentEntries;
     for (const auto &[address, heard] : m_entryHeard) {
         if (now - heard >= m_options.entrySilence)
-            silentEntries.push_back(address);
+            silent.left.push_back(address);
     }
     for (const upstream_life &life : silent.upstreams)
         m_upstreamHeard.erase(life.id);
-    for (const endpoint_address &address : silentEntries) {
+    for (const endpoint_address &address : silent.left) {
         m_entryHeard.erase(address);
         log_line(log_level::warning, "fleet", "entry_silent").field("entry", address.text());
-        proposeEntry(address, std::nullopt, now);
     }
     if (silent != roster_command{})
-        propose(silent, now, [](result_code) {});
+        proposeRoster(silent, now);
 }
 
 void fleet_control::apply(fleet_log_place place, const std::string &text)
