--- a/include/kingcuptiller/node/control_node.h
+++ b/include/kingcuptiller/node/control_node.h
@@ -96,13 +96,21 @@
         std::uint64_t commands = 0;
     };
 
-    // The view that was encoded last, and between which states it leads.
-    struct encoded_view
+    // From which state a view leads to which.
+    struct view_span
     {
         std::uint64_t since = 0;
         revision_number sinceVersion;
         std::uint64_t commands = 0;
         std::vector<replica_identity> voters;
+
+        bool operator==(const view_span &) const = default;
+    };
+
+    // The view that was encoded last.
+    struct encoded_view
+    {
+        view_span span;
         std::string body;
     };
 
--- a/src/node/control_links.cpp
+++ b/src/node/control_links.cpp
@@ -223,20 +223,19 @@
 
 void control_node::sendView(entry_feed &feed)
 {
-    const std::uint64_t commands = m_control->state().commands();
-    const auto voters = m_replica->status().members.voters;
+    const fleet_state &state = m_control->state();
+    view_span span{feed.commands, feed.version, state.commands(),
+                   m_replica->status().members.voters};
     // Entries that are in step get the same bytes.
-    if (m_newestView.since != feed.commands || m_newestView.sinceVersion != feed.version
-        || m_newestView.commands != commands || m_newestView.voters != voters) {
+    if (span != m_newestView.span) {
         fleet_difference difference = m_control->differenceSince(feed.commands, feed.version);
-        for (const replica_identity &voter : voters)
+        for (const replica_identity &voter : span.voters)
             difference.controlHosts.push_back(voter.host);
-        m_newestView = {feed.commands, feed.version, commands, voters,
-                        encodeFleetDifference(difference)};
+        m_newestView = {std::move(span), encodeFleetDifference(difference)};
         m_viewsEncoded.add();
     }
-    feed.version = m_control->state().version();
-    feed.commands = commands;
+    feed.version = state.version();
+    feed.commands = state.commands();
     feed.connection->send(frame_kind::view, m_newestView.body);
 }
 
