--- a/include/kingcuptiller/relay/request_relay.h
+++ b/include/kingcuptiller/relay/request_relay.h
@@ -84,8 +84,10 @@
                                          milliseconds retryAfter);
     [[nodiscard]] relay_response openEnd(journey &trip, std::string_view reason);
     [[nodiscard]] const service_name &partOf(const traffic_route &route);
-    void noteLoad(const chosen_upstream &upstream, const sending_result &result,
-                  sending_outcome outcome, const sending_record &sending, instant sent);
+    // Tells the choice how a sending ended; returns the load that the upstream reported.
+    std::optional<upstream_load> noteLoad(const chosen_upstream &upstream,
+                                          const sending_result &result, sending_outcome outcome,
+                                          const sending_record &sending, instant sent);
     void noteEnd(const journey &trip, std::string_view outcome, std::string_view reason);
 
     boost::asio::io_context &m_context;
--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -112,6 +112,10 @@
     milliseconds queued{0};
     // The way there and back.
     milliseconds roundTrip{0};
+    // Requests that it is taken to have, those of this entry among them.
+    double load = 0;
+    // How old its last report is; nothing when it has never reported.
+    std::optional<milliseconds> reportAge;
 };
 
 // Why no upstream was chosen, and when one may be free.
@@ -180,7 +184,8 @@
         std::uint32_t inFlight = 0;
         // Requests of other entries at the last report.
         double others = 0;
-        instant reported;
+        // When it was; nothing before the first one.
+        std::optional<instant> reported;
         // When it was observed last. The marks fade; see `marksOf`.
         upstream_marks marks;
         instant observed;
@@ -242,6 +247,7 @@
         std::size_t withoutQueue = 0;
     };
 
+    [[nodiscard]] chosen_upstream described(const choice_option &option, instant now) const;
     [[nodiscard]] service_survey survey(service_record &service, const choice_request &request,
                                         instant now);
     [[nodiscard]] choice_option assess(upstream_record &upstream, service_record &service,
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <exception>
 #include <utility>
 
@@ -48,6 +49,8 @@
     chosen_upstream upstream;
     object_knowledge knowledge = object_knowledge::none;
     milliseconds took{0};
+    // What the upstream reported beside its answer.
+    std::optional<upstream_load> load;
 };
 
 struct request_relay::journey
@@ -220,9 +223,9 @@
         : judge(result);
     // Without a connection nothing was sent, which counts neither as an attempt nor as a repeat.
     ++(outcome == sending_outcome::unreachable ? trip.unreachable : trip.sent);
-    noteLoad(upstream, result, outcome, sending, sent);
+    const std::optional<upstream_load> load = noteLoad(upstream, result, outcome, sending, sent);
     trip.last = {upstream, sending.knowledge,
-                 std::chrono::duration_cast<milliseconds>(m_options.now() - sent)};
+                 std::chrono::duration_cast<milliseconds>(m_options.now() - sent), load};
     log_line(log_level::debug, "relay", "attempt_ended")
         .field("request", view(trip.request[m_options.headers.requestId]))
         .field("upstream", upstream.life.id.text())
@@ -345,8 +348,10 @@
     return answer.result_int() >= 500 ? sending_outcome::failed : sending_outcome::answered;
 }
 
-void request_relay::noteLoad(const chosen_upstream &upstream, const sending_result &result,
-                             sending_outcome outcome, const sending_record &sending, instant sent)
+std::optional<upstream_load> request_relay::noteLoad(const chosen_upstream &upstream,
+                                                     const sending_result &result,
+                                                     sending_outcome outcome,
+                                                     const sending_record &sending, instant sent)
 {
     const instant now = m_options.now();
     std::optional<upstream_load> load;
@@ -357,6 +362,7 @@
             m_choice.noteCold(upstream.life.id, milliseconds(*cold), now);
     }
     m_choice.finished(upstream.life.id, sending, outcome, now - sent, load, now);
+    return load;
 }
 
 relay_response request_relay::handedOn(const relay_response &answer) const
@@ -407,13 +413,20 @@
         .field("sendings", std::uint64_t(trip.sent))
         .field("unreachable", std::uint64_t(trip.unreachable))
         .field("elapsed_ms", std::int64_t(elapsed.count()));
-    if (trip.last)
-        line.field("last_tried", trip.last->upstream.life.id.text())
-            .field("region", trip.last->upstream.region.text())
-            .field("familiar", trip.last->knowledge == object_knowledge::familiar ? 1 : 0)
-            .field("expected_ms", std::int64_t(trip.last->upstream.expected.count()))
-            .field("queue_ms", std::int64_t(trip.last->upstream.queued.count()))
-            .field("last_ms", std::int64_t(trip.last->took.count()));
+    if (!trip.last)
+        return;
+    const last_sending &last = *trip.last;
+    line.field("last_tried", last.upstream.life.id.text())
+        .field("region", last.upstream.region.text())
+        .field("familiar", last.knowledge == object_knowledge::familiar ? 1 : 0)
+        .field("expected_ms", std::int64_t(last.upstream.expected.count()))
+        .field("queue_ms", std::int64_t(last.upstream.queued.count()))
+        .field("last_ms", std::int64_t(last.took.count()))
+        .field("load", std::int64_t(std::llround(last.upstream.load)));
+    if (last.upstream.reportAge)
+        line.field("report_age_ms", std::int64_t(last.upstream.reportAge->count()));
+    if (last.load)
+        line.field("load_then", std::uint64_t(last.load->running) + last.load->waiting);
 }
 
 } // namespace kingcuptiller
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -155,7 +155,9 @@
 
 double upstream_choice::loadOf(const upstream_record &upstream, instant now) const
 {
-    const double age = toMs(now - upstream.reported);
+    if (!upstream.reported)
+        return upstream.inFlight;
+    const double age = toMs(now - *upstream.reported);
     return upstream.inFlight + upstream.others * std::exp(-std::max(age, 0.0) / reportMemoryMs);
 }
 
@@ -356,13 +358,24 @@
         shares.refused();
         return std::nullopt;
     }
-    const choice_option &best = options.at(*taken);
     if (!isBound)
         shares.decided(preferred->first, *taken);
-    return chosen_upstream{best.upstream->life, best.upstream->region,
-                           milliseconds(std::llround(best.expectedMs)),
-                           milliseconds(std::llround(best.queuedMs)),
-                           milliseconds(std::llround(networkMs(*best.upstream)))};
+    return described(options.at(*taken), now);
+}
+
+chosen_upstream upstream_choice::described(const choice_option &option, instant now) const
+{
+    const upstream_record &upstream = *option.upstream;
+    std::optional<milliseconds> reportAge;
+    if (upstream.reported)
+        reportAge = std::chrono::duration_cast<milliseconds>(now - *upstream.reported);
+    return {upstream.life,
+            upstream.region,
+            milliseconds(std::llround(option.expectedMs)),
+            milliseconds(std::llround(option.queuedMs)),
+            milliseconds(std::llround(networkMs(upstream))),
+            loadOf(upstream, now),
+            reportAge};
 }
 
 sending_record upstream_choice::started(const upstream_id &id, const std::string &object,
