Take no answer without an id on a connection that has carried other requests

A faulty upstream writes an earlier refusal once more on a kept connection.

Cause: an answer that named no request counted as the answer to whatever was sent last. A repeated one that still bore the earlier id was told apart already. Two more ways to the same confusion: a request without an id on a kept connection, and the same request sent twice on one connection after 421, once the new lifetime is announced at the address.

--- a/include/kingcuptiller/relay/upstream_connections.h
+++ b/include/kingcuptiller/relay/upstream_connections.h
@@ -114,7 +114,8 @@
 // Sends a request once on an open connection and reads its answer. An upstream in trouble may send
 // bytes without end, in a head, a body or between answers, so each is bounded; beyond a bound, and
 // after any end but a whole answer, the connection is closed.
-// Answers to other requests that come first are dropped. An answer that arrives before the whole
+// Answers to other requests that come first are dropped; on a connection that has carried requests,
+// an answer that names none counts as one of these. An answer that arrives before the whole
 // request was sent ends the use of the connection. Whoever closes the socket meanwhile ends the
 // sending; the caller then knows why.
 boost::asio::awaitable<sending_result> exchange(boost::asio::io_context &context,
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -266,7 +266,10 @@
 {
     sending_result nothingSent;
     const endpoint_address &address = upstream.life.address;
-    auto connection = m_connections.take(address, m_options.now());
+    // Only the id tells an answer from a late one to an earlier request.
+    std::shared_ptr<upstream_connection> connection;
+    if (!trip.request[m_options.headers.requestId].empty())
+        connection = m_connections.take(address, m_options.now());
     if (!connection) {
         connection = std::make_shared<upstream_connection>(m_context);
         const instant began = m_options.now();
@@ -301,7 +304,9 @@
     sending_result result =
         co_await exchange(m_context, connection, request, m_options.headers, limits);
     trip.client.onLeave({});
-    if (result.kind == sending_result::end::answered)
+    // The request may be sent to this address again, for another lifetime.
+    const bool replaced = result.answer.result() == http::status::misdirected_request;
+    if (result.kind == sending_result::end::answered && !replaced)
         m_connections.keep(address, connection, result.answer, m_options.now());
     co_return result;
 }
--- a/src/relay/upstream_connections.cpp
+++ b/src/relay/upstream_connections.cpp
@@ -98,11 +98,12 @@
     return std::chrono::seconds(seconds);
 }
 
+// On a connection that carried other requests, an answer that names none may be a late one to them.
 bool belongsTo(const relay_response &answer, const relay_request &request,
-               const relay_headers &headers)
+               const relay_headers &headers, bool reused)
 {
     const auto echoed = answer.find(headers.requestId);
-    return echoed == answer.end() || echoed->value() == request[headers.requestId];
+    return echoed == answer.end() ? !reused : echoed->value() == request[headers.requestId];
 }
 
 // Reads one answer. The bytes on the wire are bounded, as chunks may carry far more framing than
@@ -213,7 +214,7 @@
         problem = co_await readAnswer(connection, parser, limits.answerBytes);
         if (problem || parser.get().result_int() < 200)
             continue;
-        if (belongsTo(parser.get(), *request, headers)) {
+        if (belongsTo(parser.get(), *request, headers, connection->reused)) {
             result.kind = sending_result::end::answered;
             result.answer = parser.release();
             // After a foreign answer, or in the middle of the request, the next answer on this
--- a/tests/relay/relay_world.h
+++ b/tests/relay/relay_world.h
@@ -11,6 +11,7 @@
 #include <boost/asio/write.hpp>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <thread>
@@ -28,6 +29,9 @@
 class relay_world
 {
 public:
+    // Ports of upstreams by their ids.
+    using upstream_ports = std::map<std::string, std::uint16_t>;
+
     explicit relay_world(std::uint16_t upstreamPort, std::uint64_t bodyLimit = 1'000)
         : relay_world(std::vector<std::uint16_t>{upstreamPort}, bodyLimit)
     {
@@ -60,17 +64,10 @@
             route.maximumAttempts = attempts;
             configuration.routes.push_back(route);
         }
-        fleet_view view;
-        for (const std::uint16_t port : upstreamPorts) {
-            upstream_life life;
-            life.id = upstream_id("u" + std::string(view.upstreams.size(), 'x'));
-            life.address = endpoint_address("127.0.0.1:" + std::to_string(port));
-            life.service = service_name("s");
-            life.zone = zone_name("a");
-            life.slots = 4;
-            view.upstreams.push_back(life);
-        }
-        m_relay.update(view, configuration);
+        upstream_ports upstreams;
+        for (const std::uint16_t port : upstreamPorts)
+            upstreams.emplace("u" + std::string(upstreams.size(), 'x'), port);
+        m_relay.update(viewOf(upstreams), configuration);
         m_thread = std::thread([this] { m_context.run(); });
     }
 
@@ -100,18 +97,43 @@
         return answer;
     }
 
+    // Shows the relay a view with these upstreams only.
+    void show(const upstream_ports &upstreams)
+    {
+        asio::post(m_context,
+                   [this, upstreams] { m_relay.update(viewOf(upstreams), std::nullopt); });
+    }
+
     void tick()
     {
         asio::post(m_context, [this] { m_relay.tick(); });
     }
 
-    std::string request(const std::string &route, milliseconds left = milliseconds(4'000))
+    // Without an id when that is empty.
+    std::string request(const std::string &route, milliseconds left = milliseconds(4'000),
+                        const std::string &id = "7")
     {
-        return "POST /" + route + "/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: 7\r\nX-Time: "
-            + std::to_string(left.count()) + "\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi";
+        return "POST /" + route + "/1 HTTP/1.1\r\nHost: a.example\r\n"
+            + (id.empty() ? "" : "X-Id: " + id + "\r\n") + "X-Time: " + std::to_string(left.count())
+            + "\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi";
     }
 
 private:
+    static fleet_view viewOf(const upstream_ports &upstreams)
+    {
+        fleet_view view;
+        for (const auto &[id, port] : upstreams) {
+            upstream_life life;
+            life.id = upstream_id(id);
+            life.address = endpoint_address("127.0.0.1:" + std::to_string(port));
+            life.service = service_name("s");
+            life.zone = zone_name("a");
+            life.slots = 4;
+            view.upstreams.push_back(life);
+        }
+        return view;
+    }
+
     static relay_options options()
     {
         relay_options result;
