Answer 502 where an upstream says 503, 429 or 408 but not that nothing ran

What callers would see: a status that promises 'not run, try again' for a request that may have run. Found by looking for the cause of the repeated refusal elsewhere: these statuses of an upstream were handed on as they were, although only its own statement (not the status) says that nothing ran.

--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -34,6 +34,13 @@
 using internal::numberIn;
 using internal::view;
 
+// Clients take these for a promise that the request has not run and never will.
+bool saysNotRun(http::status status)
+{
+    return status == http::status::service_unavailable || status == http::status::too_many_requests
+        || status == http::status::request_timeout || status == http::status::misdirected_request;
+}
+
 std::string_view reasonText(const no_choice &reason)
 {
     if (reason.noneKnown)
@@ -350,7 +357,8 @@
         return sealed && answer.find(http::field::content_encoding) == answer.end()
             ? sending_outcome::answered
             : sending_outcome::broken;
-    return answer.result_int() >= 500 ? sending_outcome::failed : sending_outcome::answered;
+    return answer.result_int() >= 500 || saysNotRun(answer.result()) ? sending_outcome::failed
+                                                                     : sending_outcome::answered;
 }
 
 std::optional<upstream_load> request_relay::noteLoad(const chosen_upstream &upstream,
@@ -372,6 +380,9 @@
 
 relay_response request_relay::handedOn(const relay_response &answer) const
 {
+    // The upstream did not state that it has not run the request, so the status must not.
+    if (saysNotRun(answer.result()))
+        return ownAnswer(http::status::bad_gateway, "the upstream failed\n");
     relay_response result = answer;
     eraseConnectionHeaders(result);
     result.version(11);
--- a/tests/relay/request_relay_test.cpp
+++ b/tests/relay/request_relay_test.cpp
@@ -62,6 +62,9 @@
     {
         const std::string foreign =
             "HTTP/1.1 200 OK\r\nX-Id: 6\r\nX-Seal: s\r\nContent-Length: 5\r\n\r\nother";
+        const std::string failedTail = "\r\nX-Seal: s\r\nContent-Length: 3\r\n\r\nbad";
+        const std::string cutHead =
+            "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Seal: s\r\nConnection: close\r\n";
         const std::vector<answer_case> cases = {
             {"success", "writes", sealed, "200", "body"},
             {"closed without an answer", "writes", "", "502", ""},
@@ -71,6 +74,16 @@
              "Content-Length: 4\r\n\r\nbod",
              "502", ""},
             {"not HTTP", "writes", "garbage\r\n\r\n", "502", ""},
+            {"head cut after a line", "writes", cutHead, "502", ""},
+            {"head cut after a line", "reads", cutHead, "502", ""},
+            {"head cut in a name", "writes", cutHead + "Content-Le", "502", ""},
+            {"head cut after the length", "writes", cutHead + "Content-Length: 4\r\n", "502", ""},
+            {"head cut after a length of nothing", "writes", cutHead + "Content-Length: 0\r\n",
+             "502", ""},
+            {"head cut before its last byte", "writes", cutHead + "\r", "502", ""},
+            {"head cut in its first line", "writes",
+             "HTTP/1.1 100 Continue\r\nConnection: close\r\n\r\nHTTP/1.1 200 O", "502", ""},
+            {"head cut after an answer to another request", "writes", foreign + cutHead, "502", ""},
             {"not sealed", "writes", "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n",
              "502", ""},
             {"answer to another request first", "writes", foreign + sealed, "200", "body"},
@@ -80,6 +93,11 @@
              "502", ""},
             {"refused truthfully", "writes",
              "HTTP/1.1 503 Full\r\nX-NotRun: 1\r\nContent-Length: 0\r\n\r\n", "503", ""},
+            {"unavailable, and may have run", "writes", "HTTP/1.1 503 Bad" + failedTail, "502", ""},
+            {"unavailable, and may have run", "reads", "HTTP/1.1 503 Bad" + failedTail, "502", ""},
+            {"too many requests, and may have run", "writes", "HTTP/1.1 429 Bad" + failedTail,
+             "502", ""},
+            {"timeout, and may have run", "writes", "HTTP/1.1 408 Bad" + failedTail, "502", ""},
             {"failed", "writes", "HTTP/1.1 500 Bad\r\nX-Seal: s\r\nContent-Length: 3\r\n\r\nbad",
              "500", "bad"},
             {"without length", "writes",
