Answer every request around a planned stop of an entry

A request whose last bytes came after the entry had stopped accepting was either cut while it was read, because it did not count as in progress, or passed on with no regard to the time that was left; and whatever was under way at the end was cut without an answer.

Change: a request is in progress from its first byte. From SIGTERM on a request is sent only when its answer is expected within half of the time that is left, and is refused at once otherwise, truthfully and with a Retry-After of 50 ms. What is under way 0.45 s before the limit is broken off and answered 502 or 504. Half, because a request that takes longer than that is broken off with its outcome open.

requestsAroundAPlannedStopAreAllAnswered: before, the second case (begun before, does not end) and the third (whole only late in the grace) ended without an answer; now 502 and 503, and nothing is sent in the third.

--- a/include/kingcuptiller/relay/request_relay.h
+++ b/include/kingcuptiller/relay/request_relay.h
@@ -12,11 +12,13 @@
 #include "kingcuptiller/values/time.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -63,6 +65,9 @@
     [[nodiscard]] client_limits limits() const;
     // A configuration is known, so that requests can be carried.
     [[nodiscard]] bool ready() const { return m_routes != nullptr; }
+    // The process ends at `end`. From now on a request is sent only when its answer is expected
+    // well before; what is still under way then is broken off, so that its client gets an answer.
+    void endBy(instant end);
     // Closes idle connections and logs where requests went; call it about once a second.
     void tick();
 
@@ -72,6 +77,8 @@
     struct journey;
 
     [[nodiscard]] boost::asio::awaitable<relay_response> carry(journey &trip);
+    // How long an answer may be expected to take.
+    [[nodiscard]] milliseconds usableTime(const journey &trip, instant now) const;
     [[nodiscard]] boost::asio::awaitable<std::optional<relay_response>>
     attempt(journey &trip, const chosen_upstream &upstream);
     [[nodiscard]] boost::asio::awaitable<sending_result> sendTo(journey &trip,
@@ -99,6 +106,10 @@
     upstream_choice m_choice;
     shared_retry_budget m_budget;
     upstream_connections m_connections;
+    // Connections on which an answer is awaited.
+    std::set<std::shared_ptr<upstream_connection>> m_awaiting;
+    std::optional<instant> m_end;
+    boost::asio::steady_timer m_endTimer;
     std::shared_ptr<const route_table> m_routes;
     client_limits m_limits;
     revision_number m_version;
--- a/include/kingcuptiller/relay/traffic_server.h
+++ b/include/kingcuptiller/relay/traffic_server.h
@@ -51,7 +51,7 @@
     // New connections are no longer taken.
     void stopAccepting();
     // Requests that are being read, worked on or answered.
-    [[nodiscard]] std::size_t requestsInProgress() const { return *m_inProgress; }
+    [[nodiscard]] std::size_t requestsInProgress() const;
     [[nodiscard]] tcp_endpoint address() const;
 
 private:
@@ -68,8 +68,6 @@
     request_handler m_handler;
     std::function<client_limits()> m_limits;
     std::set<std::shared_ptr<session>> m_sessions;
-    // Shared with the requests: a coroutine may be destroyed with the context, after this server.
-    std::shared_ptr<std::size_t> m_inProgress = std::make_shared<std::size_t>(0);
     std::shared_ptr<boost::asio::ssl::context> m_tls;
     bool m_leaving = false;
 };
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -24,8 +24,9 @@
 // Clients go on using an address for some time after the directory stopped naming it; this part of
 // the shutdown limit is left for requests that were taken last.
 constexpr double acceptingShare = 0.45;
-// The process must be gone before it is killed.
+// The process must be gone before it is killed, and answers must be on their way before that.
 constexpr milliseconds shutdownReserve{300};
+constexpr milliseconds lastAnswersTime{150};
 constexpr milliseconds leavingCheck{50};
 
 relay_options relayOptions(const node_settings &settings, const entry_platform &platform)
@@ -185,6 +186,7 @@
     log_line(log_level::info, "entry", "leaves").field("name", m_settings.name);
     m_feed->setServing(false);
     const instant until = readInstant() + m_settings.shutdownLimit - shutdownReserve;
+    m_relay.endBy(until - lastAnswersTime);
     const auto accepting = milliseconds(static_cast<std::int64_t>(
         static_cast<double>(m_settings.shutdownLimit.count()) * acceptingShare));
     m_leavingTimer.expires_after(accepting);
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -28,6 +28,10 @@
 // opening packet is sent again after a second only, when another upstream is the better way.
 constexpr int connectRoundTrips = 4;
 constexpr milliseconds connectReserve{200};
+// Before the end of the process a request may take this part of the remaining time by expectation,
+// because one that takes longer is broken off.
+constexpr double usableShareBeforeEnd = 0.5;
+constexpr milliseconds retryAfterEnd{50};
 
 using internal::eraseConnectionHeaders;
 using internal::loadIn;
@@ -92,6 +96,7 @@
     , m_flows(counters)
     , m_choice(m_options.choice)
     , m_budget(m_options.retries)
+    , m_endTimer(context)
 {
 }
 
@@ -125,6 +130,19 @@
     }
 }
 
+void request_relay::endBy(instant end)
+{
+    m_end = end;
+    m_endTimer.expires_after(end - m_options.now());
+    m_endTimer.async_wait([this](error_code problem) {
+        if (problem)
+            return;
+        error_code ignored;
+        for (const auto &connection : m_awaiting)
+            connection->socket.close(ignored);
+    });
+}
+
 const service_name &request_relay::partOf(const traffic_route &route)
 {
     if (route.parts.size() == 1)
@@ -187,11 +205,21 @@
     co_return co_await carry(trip);
 }
 
+milliseconds request_relay::usableTime(const journey &trip, instant now) const
+{
+    const auto left = std::chrono::duration_cast<milliseconds>(trip.due - now);
+    if (!m_end)
+        return left;
+    return std::min(
+        left, std::chrono::duration_cast<milliseconds>((*m_end - now) * usableShareBeforeEnd));
+}
+
 asio::awaitable<relay_response> request_relay::carry(journey &trip)
 {
     for (;;) {
         const instant now = m_options.now();
         const auto left = std::chrono::duration_cast<milliseconds>(trip.due - now);
+        const milliseconds usable = usableTime(trip, now);
         if (trip.client.hasLeft())
             co_return openEnd(trip, "client_left");
         if (left <= shortestSending)
@@ -205,11 +233,13 @@
         no_choice reason;
         const auto upstream =
             m_choice.choose({trip.service, trip.object, trip.route.regions,
-                             trip.route.latencyTarget, left, trip.tried, trip.formerRegion},
+                             trip.route.latencyTarget, usable, trip.tried, trip.formerRegion},
                             now, reason);
+        if (!upstream && trip.mayHaveRun)
+            co_return openEnd(trip, "no_upstream");
         if (!upstream)
-            co_return trip.mayHaveRun ? openEnd(trip, "no_upstream")
-                                      : refusal(trip, reasonText(reason), reason.retryAfter);
+            co_return usable < left ? refusal(trip, "process_ends", retryAfterEnd)
+                                    : refusal(trip, reasonText(reason), reason.retryAfter);
         trip.tried.insert(upstream->life.id);
         trip.formerRegion = upstream->region;
         if (auto answer = co_await attempt(trip, *upstream))
@@ -308,8 +338,10 @@
     // Temporaries in an awaited call are destroyed twice by g++ 12, so arguments have names.
     const std::shared_ptr<const relay_request> request = forwarded(trip, upstream.life);
     const exchange_limits limits{left, m_options.largestAnswer};
+    m_awaiting.insert(connection);
     sending_result result =
         co_await exchange(m_context, connection, request, m_options.headers, limits);
+    m_awaiting.erase(connection);
     trip.client.onLeave({});
     // The request may be sent to this address again, for another lifetime.
     const bool replaced = result.answer.result() == http::status::misdirected_request;
--- a/src/relay/traffic_server.cpp
+++ b/src/relay/traffic_server.cpp
@@ -15,6 +15,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <string_view>
 #include <utility>
@@ -80,6 +81,7 @@
     client_stream stream;
     beast::flat_buffer buffer;
     relay_request request;
+    // From the first byte of a request until its answer is written.
     bool busy = false;
 };
 
@@ -102,6 +104,12 @@
     return m_acceptor.local_endpoint();
 }
 
+std::size_t traffic_server::requestsInProgress() const
+{
+    return static_cast<std::size_t>(std::count_if(m_sessions.begin(), m_sessions.end(),
+                                                  [](const auto &client) { return client->busy; }));
+}
+
 void traffic_server::stopAccepting()
 {
     error_code ignored;
@@ -216,19 +224,6 @@
         co_return false;
     if (!co_await readRequest(client))
         co_return false;
-    struct progress
-    {
-        std::shared_ptr<std::size_t> count;
-        explicit progress(std::shared_ptr<std::size_t> value)
-            : count(std::move(value))
-        {
-            ++*count;
-        }
-        ~progress() { --*count; }
-        progress(const progress &) = delete;
-        progress &operator=(const progress &) = delete;
-    } const inProgress(m_inProgress);
-
     const bool keepAlive = client.request.keep_alive();
     const auto presence = std::make_shared<client_presence>();
     asio::ip::tcp::socket &socket = client.stream.socket();
--- /dev/null
+++ b/tests/node/entry_node_test.cpp
@@ -0,0 +1,202 @@
+#include "kingcuptiller/node/entry_node.h"
+#include "kingcuptiller/transport/free_port.h"
+#include "tests/node/fake_control_host.h"
+#include "tests/support/scripted_server.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace kingcuptiller;
+
+namespace {
+
+// The time between the stop's beginning and the end of the process.
+constexpr milliseconds grace{2'000};
+constexpr milliseconds pollInterval{20};
+constexpr int mostPolls = 500;
+
+const std::string answerToSeven =
+    "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Seal: s\r\nContent-Length: 4\r\n\r\nbody";
+
+struct stop_case
+{
+    std::string name;
+    // When the last bytes of the request are sent, from the stop's beginning.
+    milliseconds lastBytesAfter{0};
+    milliseconds upstreamTakes{0};
+    std::string expectedStatus;
+    int expectedSendings = 0;
+};
+
+const std::vector<stop_case> stopCases = {
+    {"begun before, ends in time", milliseconds(0), milliseconds(700), "200", 1},
+    {"begun before, does not end", milliseconds(0), milliseconds(2'500), "502", 1},
+    {"whole only late in the grace", milliseconds(1'400), milliseconds(1'000), "503", 0},
+};
+
+// An entry with a control host and an upstream, on loopback, in a thread of its own.
+class entry_world
+{
+public:
+    explicit entry_world(milliseconds upstreamTakes)
+        : upstream([upstreamTakes](int, const std::string &) {
+            std::this_thread::sleep_for(upstreamTakes);
+            return answerToSeven;
+        })
+        , m_process(std::make_unique<process>(m_controlPort, settings()))
+    {
+        upstream_life life;
+        life.id = upstream_id("u");
+        life.address = endpoint_address("127.0.0.1:" + std::to_string(upstream.port()));
+        life.service = service_name("s");
+        life.zone = zone_name("a");
+        life.slots = 4;
+        m_process->host.view.upstreams.push_back(life);
+        m_process->host.view.version = revision_number(1);
+        m_process->host.view.document = "a configuration";
+        m_thread = std::thread([this] {
+            m_process->context.run();
+            m_process.reset();
+        });
+        waitUntilReady();
+    }
+
+    ~entry_world()
+    {
+        if (!m_stopping)
+            asio::post(m_process->context, [this] { m_process->context.stop(); });
+        m_thread.join();
+    }
+    entry_world(const entry_world &) = delete;
+    entry_world &operator=(const entry_world &) = delete;
+
+    asio::ip::tcp::socket connect()
+    {
+        asio::ip::tcp::socket socket(m_clientContext);
+        socket.connect(toEndpoint("127.0.0.1:" + std::to_string(m_trafficPort)));
+        return socket;
+    }
+
+    // The process ends, and with it all its connections, when the entry has left.
+    void stop()
+    {
+        m_stopping = true;
+        asio::post(m_process->context,
+                   [this] { m_process->entry.leave([this] { m_process->context.stop(); }); });
+    }
+
+    scripted_server upstream;
+
+private:
+    struct process
+    {
+        process(std::uint16_t controlPort, const node_settings &settings)
+            : host(context, "127.0.0.6", controlPort, host_mood::current)
+            , entry(context, settings, platform(), counters)
+        {
+        }
+
+        asio::io_context context;
+        counter_registry counters;
+        fake_control_host host;
+        entry_node entry;
+    };
+
+    void waitUntilReady()
+    {
+        std::atomic<bool> ready = false;
+        for (int i = 0; i < mostPolls && !ready; ++i) {
+            asio::post(m_process->context, [&] { ready = m_process->entry.ready(); });
+            std::this_thread::sleep_for(pollInterval);
+        }
+        CPPUNIT_ASSERT(ready);
+    }
+
+    node_settings settings() const
+    {
+        node_settings result;
+        result.name = "entry";
+        result.host = host_id("127.0.0.1");
+        result.zone = zone_name("a");
+        result.region = region_name("r");
+        result.zones = {{zone_name("a"), region_name("r")}};
+        result.traffic = endpoint_address("127.0.0.1:" + std::to_string(m_trafficPort));
+        result.internalPort = m_controlPort;
+        result.seeds = {host_id("127.0.0.6")};
+        result.shutdownLimit = grace;
+        return result;
+    }
+
+    static entry_platform platform()
+    {
+        return {{"X-Id", "X-Time", "X-Object", "X-Upstream", "X-Seal", "X-NotRun", "X-Load",
+                 "X-Cold", "Retry-After"},
+                [](const std::string &) {
+                    traffic_configuration configuration;
+                    configuration.version = revision_number(1);
+                    configuration.services = {{service_name("s"), 390, milliseconds(0), 0}};
+                    traffic_route route;
+                    route.name = "writes";
+                    route.host = "a.example";
+                    route.pathPrefix = "/";
+                    route.timeout = milliseconds(8'000);
+                    route.parts = {{service_name("s"), 1}};
+                    route.maximumAttempts = 2;
+                    configuration.routes.push_back(route);
+                    return configuration;
+                }};
+    }
+
+    std::uint16_t m_controlPort = findFreePort();
+    std::uint16_t m_trafficPort = findFreePort();
+    asio::io_context m_clientContext;
+    std::unique_ptr<process> m_process;
+    std::thread m_thread;
+    bool m_stopping = false;
+};
+
+} // namespace
+
+class entry_node_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(entry_node_test);
+    CPPUNIT_TEST(requestsAroundAPlannedStopAreAllAnswered);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against requests that are taken late in the grace of a planned stop and cut at its end
+    // without an answer.
+    void requestsAroundAPlannedStopAreAllAnswered()
+    {
+        for (const stop_case &each : stopCases) {
+            entry_world world(each.upstreamTakes);
+            asio::ip::tcp::socket client = world.connect();
+            const std::string head =
+                "POST /1 HTTP/1.1\r\nHost: a.example\r\nX-Id: 7\r\nX-Time: 6000\r\n"
+                "Content-Length: 2\r\n\r\nh";
+            asio::write(client, asio::buffer(head));
+            world.stop();
+            std::this_thread::sleep_for(each.lastBytesAfter);
+            boost::system::error_code ignored;
+            asio::write(client, asio::buffer(std::string("i")), ignored);
+            std::string answer;
+            asio::read(client, asio::dynamic_buffer(answer), ignored);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                each.name, each.expectedStatus,
+                answer.substr(0, 12).substr(std::min<std::size_t>(9, answer.size())));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(each.name, each.expectedSendings,
+                                         world.upstream.requests());
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(entry_node_test);
--- a/tests/node/fleet_feed_test.cpp
+++ b/tests/node/fleet_feed_test.cpp
@@ -1,7 +1,7 @@
 #include "kingcuptiller/node/fleet_feed.h"
-#include "kingcuptiller/relay/http_types.h"
 #include "kingcuptiller/transport/free_port.h"
 #include "kingcuptiller/transport/system_clock.h"
+#include "tests/node/fake_control_host.h"
 #include "tests/support/run_until.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -16,66 +16,6 @@
 
 namespace asio = boost::asio;
 
-enum class host_mood { current, stale, frozen };
-
-// A control host on a loopback address. A frozen one accepts connections, as its kernel would, and
-// answers nothing.
-class fake_control_host
-{
-public:
-    fake_control_host(asio::io_context &context, const std::string &address, std::uint16_t port,
-                      host_mood first)
-        : mood(first)
-        , m_acceptor(openListener(context, toEndpoint(address + ":" + std::to_string(port))))
-    {
-        accept();
-    }
-
-    [[nodiscard]] std::size_t connections() const { return m_connections.size(); }
-
-    host_mood mood;
-    int presences = 0;
-    // What its views build on.
-    std::uint64_t since = 0;
-
-private:
-    void accept()
-    {
-        m_acceptor.async_accept(
-            [this](boost::system::error_code problem, asio::ip::tcp::socket socket) {
-                if (problem)
-                    return;
-                const auto connection = std::make_shared<frame_connection>(std::move(socket));
-                m_connections.push_back(connection);
-                connection->start([this, weak = std::weak_ptr(connection)](
-                                      const frame &received) { answer(*weak.lock(), received); },
-                                  [] {});
-                accept();
-            });
-    }
-
-    void answer(frame_connection &connection, const frame &received)
-    {
-        if (mood == host_mood::frozen)
-            return;
-        if (mood == host_mood::stale) {
-            connection.send(frame_kind::stale, {});
-            return;
-        }
-        connection.send(frame_kind::current, {});
-        if (received.kind != frame_kind::presence)
-            return;
-        ++presences;
-        fleet_difference view;
-        view.since = since;
-        view.commands = 7;
-        connection.send(frame_kind::view, encodeFleetDifference(view));
-    }
-
-    asio::ip::tcp::acceptor m_acceptor;
-    std::vector<std::shared_ptr<frame_connection>> m_connections;
-};
-
 struct feed_world
 {
     feed_world(host_mood first, host_mood second, host_mood third)
@@ -164,10 +104,10 @@
     void viewThatBuildsOnAnUnknownOneEndsTheConnection()
     {
         feed_world world(host_mood::stale, host_mood::current, host_mood::stale);
-        world.two.since = 5;
+        world.two.view.since = 5;
         CPPUNIT_ASSERT(world.reaches([&] { return world.two.connections() > 1; }));
         CPPUNIT_ASSERT_EQUAL(0, world.views);
-        world.two.since = 0;
+        world.two.view.since = 0;
         CPPUNIT_ASSERT(world.reaches([&] { return world.views > 0; }));
     }
 };
