Let few requests not make up for what a region missed of many

Cause: the shares of regions are kept by counts of requests, and two of these outlived the traffic that they came from. What a region had not got of many requests was a credit of up to a dozen requests, which the first few after a fall could use up. And that few requests come was noticed only after two or three of them, which could all go to one region, because the pace was taken from the last quarter of a second.

Change: a credit is at most a fifth of the tolerance; the time since the newest request bounds the pace at once; a draw is corrected by requests, not by their part of the window. The correction's factor and the count of the newest quarter go.

The new regionThatWasFullForLongDoesNotJumpWhenItHasRoom passes (it was written with the change).

--- a/include/kingcuptiller/relay/region_shares.h
+++ b/include/kingcuptiller/relay/region_shares.h
@@ -81,7 +81,8 @@
     // `draw` decides, so that the requests of many entries keep the shares together.
     [[nodiscard]] bool isSparse() const;
     // A region with the probability of its share, corrected by what it got too little or too much
-    // lately; one of `regions` when these are given.
+    // lately, because requests that few regions can serve are refused when another one is drawn;
+    // one of `regions` when these are given.
     [[nodiscard]] region_name draw(std::vector<region_name> regions = {});
     // How far a region is beyond its share: 0 up to its share, 1 where it may take no more.
     [[nodiscard]] double pressure(const region_name &region) const;
@@ -109,6 +110,10 @@
 
     void countRequest();
     void moveTowardsPreference(double seconds);
+    // The length of a window in seconds.
+    [[nodiscard]] double window() const;
+    // Requests in a window at the pace of now: no more than in about the last one, and no more than
+    // the time since the newest request lets expect, because a fall shows first in that.
     [[nodiscard]] double recentRequests() const;
     [[nodiscard]] double tolerance() const;
     [[nodiscard]] double drawWeight(const region_name &region) const;
@@ -118,8 +123,8 @@
     instant m_last;
     // Requests in about the last window.
     double m_recent = 0;
-    // Requests in about the newest part of it.
-    double m_newest = 0;
+    // Seconds since the newest request.
+    double m_gap = 0;
     std::minstd_rand m_random;
 };
 
--- a/src/relay/region_shares.cpp
+++ b/src/relay/region_shares.cpp
@@ -23,14 +23,13 @@
 // What it costs to use a region that has got almost all that it may take, in milliseconds of
 // waiting, so that the requests that lose least by it go elsewhere.
 constexpr double pressureMs = 600;
+// Requests that come together, in seconds.
+constexpr double shortestGap = 0.001;
 // Weight of the newest request in where requests would best go.
 constexpr double preferenceWeight = 0.05;
-// How strongly a draw makes up for what a region got too little or too much. Some requests can be
-// served by few regions only and are refused when another is drawn, so that draws by the shares
-// alone favour these few.
-constexpr double drawCorrection = 3;
-// The newest part of a window. When traffic falls, what comes now decides what is few.
-constexpr double newestPart = 0.125;
+// What a region did not get is made up for by at most this part of the tolerance: it may be able to
+// take again only when far fewer requests come than it missed.
+constexpr double largestCredit = 0.2;
 
 } // namespace
 
@@ -102,9 +101,14 @@
         region.share += displaced > 0 ? displaced * region.slots / remaining : 0;
 }
 
+double region_shares::window() const
+{
+    return std::chrono::duration<double>(m_cap.window).count();
+}
+
 double region_shares::recentRequests() const
 {
-    return std::min(m_recent, m_newest / newestPart);
+    return std::min(m_recent, window() / std::max(m_gap, shortestGap));
 }
 
 double region_shares::tolerance() const
@@ -170,8 +174,7 @@
     const auto found = m_regions.find(region);
     if (found == m_regions.end())
         return 0;
-    const double missing = found->second.due / std::max(recentRequests(), 1.0);
-    return std::max(found->second.share + missing * drawCorrection, 0.0);
+    return std::max(found->second.share + found->second.due, 0.0);
 }
 
 double region_shares::pressure(const region_name &region) const
@@ -189,8 +192,7 @@
         distance += std::abs(region.preference - region.share) / 2;
     if (distance <= 0)
         return;
-    const double speed =
-        m_cap.largestShare * movementShare / std::chrono::duration<double>(m_cap.window).count();
+    const double speed = m_cap.largestShare * movementShare / window();
     const double part = std::min(1.0, speed * seconds / distance);
     for (auto &[name, region] : m_regions)
         region.share += (region.preference - region.share) * part;
@@ -198,17 +200,17 @@
 
 void region_shares::passTime(instant now)
 {
-    const double window = std::chrono::duration<double>(m_cap.window).count();
     const double seconds = std::max(std::chrono::duration<double>(now - m_last).count(), 0.0);
     m_last = std::max(m_last, now);
-    m_recent *= std::exp(-seconds / window);
-    m_newest *= std::exp(-seconds / (window * newestPart));
-    moveTowardsPreference(std::min(seconds, window));
+    m_gap += seconds;
+    const double kept = std::exp(-seconds / window());
+    m_recent *= kept;
+    moveTowardsPreference(std::min(seconds, window()));
     // What a region did not get for long is forgotten, or a region that cannot take its share would
     // hold up the others.
-    const double kept = std::exp(-seconds / window);
+    const double most = tolerance() * largestCredit;
     for (auto &[name, region] : m_regions)
-        region.due *= kept;
+        region.due = std::min(region.due * kept, most);
 }
 
 void region_shares::decided(const region_name &preferred, const region_name &taken)
@@ -229,7 +231,7 @@
 void region_shares::countRequest()
 {
     m_recent += 1;
-    m_newest += 1;
+    m_gap = 0;
 }
 
 void region_shares::withdrawn(const region_name &region)
--- a/tests/relay/region_shares_test.cpp
+++ b/tests/relay/region_shares_test.cpp
@@ -156,6 +156,7 @@
     CPPUNIT_TEST(fewRequestsThatOnlyHomeCanServeDoNotMoveTheShares);
     CPPUNIT_TEST(trickleAfterManyRequestsDoesNotMoveTheShares);
     CPPUNIT_TEST(regionThatGotLessThanItsShareDoesNotJumpWhenTrafficFalls);
+    CPPUNIT_TEST(regionThatWasFullForLongDoesNotJumpWhenItHasRoom);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -274,6 +275,22 @@
                                next - before <= 0.15);
     }
 
+    // Guards against a region's return all at once, after requests went elsewhere for long.
+    void regionThatWasFullForLongDoesNotJumpWhenItHasRoom()
+    {
+        const few_case busy{"many all the time", 140, 140};
+        few_world world(busy);
+        double before = 0;
+        for (int i = 0; i < 8; ++i)
+            before = world.homeShareOfNextWindow(few_window::home_mostly_full);
+        for (int i = 0; i < 4; ++i) {
+            const double next = world.homeShareOfNextWindow(few_window::any_region);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(before) + ", " + std::to_string(next),
+                                   next - before <= 0.15);
+            before = next;
+        }
+    }
+
 private:
     static void assertThatHomeDoesNotJump(const few_case &each)
     {
