--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -380,7 +380,7 @@
     if (found == m_upstreams.end())
         return {};
     upstream_record &upstream = found->second;
-    const sending_record sending{knowledgeOf(upstream, object), queueRounds(upstream, now), route};
+    sending_record sending{knowledgeOf(upstream, object), queueRounds(upstream, now), route};
     ++upstream.inFlight;
     upstream.untried = false;
     if (now < upstream.coldUntil)
