Do not end the process when a connection's time ends beside a planned stop

Cause: startLeaving asks each idle connection for unread bytes. Where a time limit has just closed the socket and its session has not been told, the question throws out of a timer's handler, which ends the process.

Change: the question takes an error code. stopBesideAnIdleTimeoutDoesNotEndTheProcess: before, it threw 'available: Bad file descriptor' when one handler of the timeout had run.

--- a/src/relay/traffic_server.cpp
+++ b/src/relay/traffic_server.cpp
@@ -47,6 +47,13 @@
     return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
+// False as well when a time limit has closed the socket and its session has not been told yet.
+bool hasUnreadBytes(const asio::ip::tcp::socket &socket)
+{
+    error_code problem;
+    return socket.available(problem) > 0 && !problem;
+}
+
 http::status statusFor(const error_code &problem)
 {
     if (problem == http::error::body_limit)
@@ -121,7 +128,7 @@
     m_leaving = true;
     for (const auto &client : m_sessions) {
         // A request that is on its way is still answered.
-        if (!client->busy && client->buffer.size() == 0 && client->stream.socket().available() == 0)
+        if (!client->busy && client->buffer.size() == 0 && !hasUnreadBytes(client->stream.socket()))
             client->stream.cancel();
     }
 }
@@ -220,7 +227,7 @@
 
 asio::awaitable<bool> traffic_server::serveOne(session &client)
 {
-    if (m_leaving && client.buffer.size() == 0 && client.stream.socket().available() == 0)
+    if (m_leaving && client.buffer.size() == 0 && !hasUnreadBytes(client.stream.socket()))
         co_return false;
     if (!co_await readRequest(client))
         co_return false;
--- /dev/null
+++ b/tests/relay/traffic_server_test.cpp
@@ -0,0 +1,64 @@
+#include "kingcuptiller/relay/traffic_server.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <string>
+#include <thread>
+
+using namespace kingcuptiller;
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr milliseconds idleLimit{30};
+constexpr milliseconds stepLength{3};
+constexpr int stepsToAccept = 5;
+// More than run when an idle connection's time is over.
+constexpr int mostHandlers = 6;
+
+client_limits shortLimits()
+{
+    client_limits limits;
+    limits.idleTimeout = idleLimit;
+    return limits;
+}
+
+} // namespace
+
+class traffic_server_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(traffic_server_test);
+    CPPUNIT_TEST(stopBesideAnIdleTimeoutDoesNotEndTheProcess);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against requests cut at a planned stop because a connection's time ends at that
+    // moment.
+    void stopBesideAnIdleTimeoutDoesNotEndTheProcess()
+    {
+        for (int handlers = 0; handlers <= mostHandlers; ++handlers) {
+            asio::io_context context;
+            traffic_server server(
+                context, toEndpoint("127.0.0.1:0"),
+                [](const relay_request &, client_presence &) -> asio::awaitable<relay_response> {
+                    co_return relay_response{};
+                },
+                shortLimits);
+            asio::io_context clientContext;
+            asio::ip::tcp::socket client(clientContext);
+            client.connect(server.address());
+            for (int i = 0; i < stepsToAccept; ++i) {
+                context.run_for(stepLength);
+                context.restart();
+            }
+            std::this_thread::sleep_for(2 * idleLimit);
+            for (int i = 0; i < handlers; ++i)
+                context.poll_one();
+            CPPUNIT_ASSERT_NO_THROW_MESSAGE(std::to_string(handlers), server.startLeaving());
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(traffic_server_test);
