Learn service times from nothing, and obey what upstreams state of their availability

Cause: estimates began with 300 and 900 ms on every deployment, doubled while cold. A route with a deadline of 1,200 ms rejected all its requests while the upstreams idled, and a rejected request teaches nothing. Penalties were absolute times, too. Server-Leaving and the Retry-After of a 503 were not read at all; headers of a 421, which another incarnation sent, counted for the expected one. Change: service_times holds means of what was measured; an assumption from the latency target ranks upstreams but rejects nothing. Penalties are shares of the uncached service time. upstream_signals: no request goes to an upstream that drains or asked for a pause; when all asked, the request is rejected at once with the time until the first pause ends.

--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -4,6 +4,8 @@
 #include "kingcuptiller/fleet/traffic_configuration.h"
 #include "kingcuptiller/relay/object_placement.h"
 #include "kingcuptiller/relay/region_shares.h"
+#include "kingcuptiller/relay/service_times.h"
+#include "kingcuptiller/relay/upstream_signals.h"
 #include "kingcuptiller/values/time.h"
 
 #include <cstdint>
@@ -31,15 +33,6 @@
     auto operator<=>(const upstream_load_report &) const = default;
 };
 
-// Whether an upstream is expected to hold the object of a request in its cache. An entry infers
-// this from the requests that it has sent to the upstream.
-enum class object_cache_state {
-    // The request refers to no object.
-    no_object,
-    cached,
-    uncached,
-};
-
 // The entry's estimates for an upstream at the time when an attempt was sent to it. An attempt is
 // one transmission of a request to one upstream.
 struct upstream_attempt_record
@@ -82,11 +75,12 @@
     // The region of each availability zone.
     std::map<zone_name, region_name> regions;
     // An upstream in another zone of the entry's region is chosen only if its expected answer is
-    // faster by this much, because traffic between zones is billed.
-    milliseconds crossZonePenalty{120};
+    // faster by this share of the service time of an uncached object, because traffic between zones
+    // is billed.
+    double crossZonePenalty = 0.13;
     // An upstream in another region is chosen only if its expected answer, including the round-trip
-    // time, is faster by this much. Not added to `crossZonePenalty`.
-    milliseconds crossRegionPenalty{60};
+    // time, is faster by this share of the same time. Not added to `crossZonePenalty`.
+    double crossRegionPenalty = 0.07;
     // The assumed round-trip time to another region until a connection to it has been measured.
     milliseconds defaultRoundTripTime{110};
     // Limits how fast requests of the entry's region may move to other regions; see
@@ -145,6 +139,8 @@
     bool noUpstreams = false;
     // Some regions could serve the request, but `region_shift_cap` lets none of them take it.
     bool shiftCapped = false;
+    // All upstreams have asked for a pause; `retryAfter` is the time until the first pause ends.
+    bool allBackOff = false;
     milliseconds retryAfter{500};
 };
 
@@ -190,6 +186,9 @@
     // Records that an upstream reported itself as cold (just started, with empty caches) for the
     // next `remaining` milliseconds.
     void reportColdUpstream(const upstream_id &id, milliseconds remaining, instant now);
+    // Applies what an upstream stated about its availability. No request is sent to an upstream
+    // that drains or has asked for a pause.
+    void applySignals(const upstream_id &id, const upstream_signals &signals, instant now);
 
 private:
     // The objects of the latest requests to an upstream, in LRU order.
@@ -252,6 +251,8 @@
         instant capacityLostUntil;
         // The latest backoff delay, which doubles with each further failure.
         milliseconds lastBackoff{0};
+        // What the upstream has stated about itself.
+        upstream_availability availability;
         instant coldUntil;
         // Token bucket, at most 1, that limits this entry's requests to the upstream while it is
         // cold. Each request takes one token.
@@ -262,17 +263,6 @@
         std::size_t memberIndex = 0;
     };
 
-    // Average service times of one route's requests at an idle upstream, in milliseconds, by cache
-    // state. The initial values apply until requests have been measured.
-    struct average_times
-    {
-        double cachedMs = 300;
-        double uncachedMs = 900;
-        double noObjectMs = 300;
-
-        [[nodiscard]] double &of(object_cache_state cacheState);
-    };
-
     // The state that is kept for each service.
     struct service_record
     {
@@ -285,11 +275,7 @@
         object_placement placement;
         region_shares shares;
         std::map<region_name, average_load> averageLoads;
-        std::map<std::string, average_times> timesByRoute;
-        // The average time, in milliseconds, that a slot spends on one request, over all requests
-        // including those that waited. It predicts how fast a queue moves.
-        double queuedRequestMs = 300;
-
+        service_times times;
         // The configured rate of requests that a cold upstream tolerates, from all entries
         // together; 0 means no limit.
         double coldRequestsPerSecond = 0;
@@ -308,6 +294,8 @@
         double costInRegion = std::numeric_limits<double>::max();
         double expectedMs = 0;
         double queueTimeMs = 0;
+        // Whether `expectedMs` rests on measurements.
+        bool isMeasured = false;
     };
 
     // The options that the upstreams of a service offer to one request.
@@ -320,15 +308,25 @@
         std::map<region_name, choice_option> bestWithShortQueue;
         // The usable slots of each region, including those that this request may not use.
         region_weights slots;
+        // Whether the upstreams that the request may use have all asked for a pause, and the time
+        // at which the first pause ends.
+        bool allBackOff = true;
+        std::optional<instant> firstBackoffEnd;
     };
 
     [[nodiscard]] chosen_upstream describeChoice(const choice_option &option, instant now) const;
     [[nodiscard]] service_options
     surveyUpstreams(service_record &service, const upstream_choice_request &request, instant now);
+    // Notes in `options` whether an upstream that the request may use has asked for a pause.
+    static void recordBackoff(const upstream_record &upstream,
+                              const upstream_choice_request &request, instant now,
+                              service_options &options);
     [[nodiscard]] choice_option evaluateUpstream(upstream_record &upstream, service_record &service,
-                                                 average_times &times,
                                                  const upstream_choice_request &request,
                                                  instant now);
+    // Whether the upstream may be expected to answer within the request's remaining time.
+    [[nodiscard]] static bool isInTime(const choice_option &option,
+                                       const upstream_choice_request &request);
     // The options that are expected to answer within the request's remaining time, by region.
     [[nodiscard]] static std::map<region_name, choice_option>
     timelyOptions(const service_options &found, const upstream_choice_request &request,
@@ -347,17 +345,21 @@
                                  instant now);
     [[nodiscard]] double roundTripMs(const upstream_record &upstream) const;
     [[nodiscard]] proximity proximityOf(const upstream_record &upstream) const;
-    [[nodiscard]] double distancePenaltyMs(const upstream_record &upstream) const;
+    // The penalty for the distance of an upstream, as a share of the service time of an uncached
+    // object.
+    [[nodiscard]] double distancePenalty(const upstream_record &upstream) const;
     // The expected number of requests that each slot finishes before it can start a new one.
     [[nodiscard]] static double queueRounds(const upstream_record &upstream, instant now);
-    // The expected time in the upstream's queue, in milliseconds.
-    [[nodiscard]] static double expectedQueueMs(const upstream_record &upstream,
-                                                const service_record &service, double slowness,
-                                                instant now);
-    // The expected service time, in milliseconds, for the cache state of the request's object.
-    [[nodiscard]] static double serviceTimeMs(const upstream_record &upstream, average_times &times,
-                                              const upstream_choice_request &request,
-                                              double slowness, instant now);
+    // The expected time in the upstream's queue.
+    [[nodiscard]] static time_estimate expectedQueueTime(const upstream_record &upstream,
+                                                         const service_record &service,
+                                                         const upstream_choice_request &request,
+                                                         double slowness, instant now);
+    // The expected service time for the cache state of the request's object.
+    [[nodiscard]] static time_estimate serviceTime(const upstream_record &upstream,
+                                                   const service_record &service,
+                                                   const upstream_choice_request &request,
+                                                   double slowness, instant now);
     // Whether the request may be sent to the upstream. Refills the upstream's cold token bucket.
     [[nodiscard]] bool mayUse(upstream_record &upstream, const service_record &service,
                               const upstream_choice_request &request, instant now) const;
--- a/include/kingcuptiller/relay/upstream_connections.h
+++ b/include/kingcuptiller/relay/upstream_connections.h
@@ -38,8 +38,11 @@
     std::string loadReport;
     // Milliseconds for which the upstream remains cold (just started, with empty caches).
     std::string coldRemaining;
-    // Seconds after which the client may retry.
+    // Seconds after which the receiver may retry: the client, or the entry when an upstream sends
+    // it.
     std::string retryAfter;
+    // "1" in every response of an upstream that drains.
+    std::string leaving;
 
     bool operator==(const relay_headers &) const = default;
 };
--- a/src/relay/request_outcomes.cpp
+++ b/src/relay/request_outcomes.cpp
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cmath>
 #include <utility>
@@ -18,6 +19,9 @@
 
 namespace {
 
+// A longer cold time in a response is malformed. It would keep the upstream unused for good.
+constexpr milliseconds maxColdTime{600'000};
+
 using internal::eraseConnectionHeaders;
 using internal::parseInteger;
 using internal::parseLoadReport;
@@ -68,12 +72,17 @@
 {
     const instant now = m_options.now();
     std::optional<upstream_load_report> load;
-    if (result.status == upstream_attempt_result::completion_status::answered) {
-        load = parseLoadReport(toStringView(result.response[m_options.headers.loadReport]));
-        if (const auto cold =
-                parseInteger(toStringView(result.response[m_options.headers.coldRemaining]));
+    // The headers of a response of another incarnation say nothing about the expected one.
+    if (result.status == upstream_attempt_result::completion_status::answered
+        && outcome != upstream_attempt_outcome::replaced) {
+        const relay_response &response = result.response;
+        load = parseLoadReport(toStringView(response[m_options.headers.loadReport]));
+        if (const auto cold = parseInteger(toStringView(response[m_options.headers.coldRemaining]));
             cold && *cold > 0)
-            m_upstreamChoice.reportColdUpstream(upstream.incarnation.id, milliseconds(*cold), now);
+            m_upstreamChoice.reportColdUpstream(upstream.incarnation.id,
+                                                std::min(milliseconds(*cold), maxColdTime), now);
+        m_upstreamChoice.applySignals(upstream.incarnation.id,
+                                      readUpstreamSignals(response, m_options.headers), now);
     }
     m_upstreamChoice.attemptFinished(upstream.incarnation.id, attempt, outcome, now - sentAt, load,
                                      now);
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -44,6 +44,8 @@
 {
     if (reason.noUpstreams)
         return "no_upstream";
+    if (reason.allBackOff)
+        return "all_back_off";
     return reason.shiftCapped ? "shift_cap" : "all_busy";
 }
 
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -29,24 +29,27 @@
 // A request may leave the preferred upstreams of its object for one with a shorter queue only while
 // the upstreams of the region have, on average, fewer requests per slot than this.
 constexpr double spreadLoadThreshold = 0.3;
+// Costs are compared in milliseconds of response time. What is no time itself is weighed by a share
+// of the service time of an uncached object, which is the scale of all times of a route.
+//
 // The cost of a failed attempt, about the response time of the retry that follows it.
-constexpr double failurePenaltyMs = 1'500;
+constexpr double failurePenalty = 1.7;
 // The service time of a cold upstream (just started, with empty caches) relative to a warm one.
 constexpr double coldSlowdown = 2;
 // The cost per rank of an upstream in `object_placement` for the request's object, and the largest
 // such cost. One rank costs more than the longest permitted queue: an upstream that caches one more
 // object evicts another, whose next request then takes three times as long.
-constexpr double rankPenaltyMs = 1'000;
-constexpr double maxRankPenaltyMs = 3'000;
+constexpr double rankPenalty = 4;
+constexpr double maxRankPenalty = 12;
 // A random cost up to this limit is added for requests without an object. Otherwise all entries
 // with the same load information would choose the same upstream.
-constexpr double maxRandomPenaltyMs = 100;
+constexpr double maxRandomPenalty = 0.11;
 // The cost of a silent upstream (no heartbeat within its timeout), so that it is used only when
 // there is no other.
-constexpr double silencePenaltyMs = 2'000;
+constexpr double silencePenalty = 2.2;
 // Reduces the cost of an upstream that this entry has not used. A new upstream has no cached
 // objects and would otherwise get no requests while the others have capacity.
-constexpr double unusedBonusMs = 5'000;
+constexpr double unusedBonus = 16;
 // All entries together use this share of the request rate that a cold upstream tolerates. The
 // margin is for an entry that is partitioned from the others and does not know how many share the
 // rate.
@@ -146,8 +149,8 @@
         m_upstreams.emplace(incarnation.id, std::move(record));
     }
     for (auto &[name, service] : m_services) {
-        std::erase_if(service.timesByRoute,
-                      [&](const auto &each) { return !routes.contains(each.first); });
+        service.times.eraseRoutes(
+            [&](const std::string &route) { return !routes.contains(route); });
         std::vector<object_placement::member> members;
         for (const upstream_id &id : service.members)
             members.push_back({id, proximityOf(m_upstreams.at(id))});
@@ -155,19 +158,6 @@
     }
 }
 
-double &upstream_choice::average_times::of(object_cache_state cacheState)
-{
-    switch (cacheState) {
-    case object_cache_state::no_object:
-        return noObjectMs;
-    case object_cache_state::cached:
-        return cachedMs;
-    case object_cache_state::uncached:
-        break;
-    }
-    return uncachedMs;
-}
-
 object_cache_state upstream_choice::cacheStateOf(const upstream_record &upstream,
                                                  const std::string &object)
 {
@@ -194,26 +184,28 @@
     return upstream.region == m_settings.region ? proximity::same_region : proximity::other_region;
 }
 
-double upstream_choice::distancePenaltyMs(const upstream_record &upstream) const
+double upstream_choice::distancePenalty(const upstream_record &upstream) const
 {
     switch (proximityOf(upstream)) {
     case proximity::same_zone:
         return 0;
     case proximity::same_region:
-        return static_cast<double>(m_settings.crossZonePenalty.count());
+        return m_settings.crossZonePenalty;
     case proximity::other_region:
         break;
     }
-    return static_cast<double>(m_settings.crossRegionPenalty.count());
+    return m_settings.crossRegionPenalty;
 }
 
-double upstream_choice::serviceTimeMs(const upstream_record &upstream, average_times &times,
-                                      const upstream_choice_request &request, double slowness,
-                                      instant now)
+time_estimate upstream_choice::serviceTime(const upstream_record &upstream,
+                                           const service_record &service,
+                                           const upstream_choice_request &request, double slowness,
+                                           instant now)
 {
-    const object_cache_state cacheState = cacheStateOf(upstream, request.object);
-    const double work = times.of(cacheState) * slowness;
-    return now < upstream.coldUntil ? work * coldSlowdown : work;
+    time_estimate work = service.times.serviceTime(
+        request.route, cacheStateOf(upstream, request.object), request.latencyTarget);
+    work.ms *= now < upstream.coldUntil ? slowness * coldSlowdown : slowness;
+    return work;
 }
 
 void upstream_choice::refillColdTokens(upstream_record &upstream, const service_record &service,
@@ -230,6 +222,7 @@
                              const upstream_choice_request &request, instant now) const
 {
     if (upstream.evacuated || now < upstream.backoffUntil
+        || !upstream.availability.permitsRequests(now)
         || request.triedUpstreams.contains(upstream.incarnation.id)
         || (!request.regions.empty() && !request.regions.contains(upstream.region)))
         return false;
@@ -244,31 +237,52 @@
 
 upstream_choice::choice_option
 upstream_choice::evaluateUpstream(upstream_record &upstream, service_record &service,
-                                  average_times &times, const upstream_choice_request &request,
-                                  instant now)
+                                  const upstream_choice_request &request, instant now)
 {
     choice_option option;
     option.upstream = &upstream;
     const answer_statistics statistics = statisticsOf(upstream, now);
-    option.queueTimeMs = expectedQueueMs(upstream, service, statistics.slowness, now);
-    option.expectedMs = roundTripMs(upstream) + option.queueTimeMs
-        + serviceTimeMs(upstream, times, request, statistics.slowness, now);
-    option.cost = option.expectedMs + distancePenaltyMs(upstream)
-        + statistics.failureRate * failurePenaltyMs
-        + (upstream.incarnation.silent ? silencePenaltyMs : 0);
+    const time_estimate queueTime =
+        expectedQueueTime(upstream, service, request, statistics.slowness, now);
+    const time_estimate work = serviceTime(upstream, service, request, statistics.slowness, now);
+    option.queueTimeMs = queueTime.ms;
+    option.expectedMs = roundTripMs(upstream) + queueTime.ms + work.ms;
+    option.isMeasured = queueTime.isMeasured && work.isMeasured;
+    double penalty = distancePenalty(upstream) + statistics.failureRate * failurePenalty
+        + (upstream.incarnation.silent ? silencePenalty : 0);
     if (request.object.empty()) {
-        option.cost += std::uniform_real_distribution<double>(0, maxRandomPenaltyMs)(m_random);
+        penalty += std::uniform_real_distribution<double>(0, maxRandomPenalty)(m_random);
     } else {
         const std::size_t rank = service.placement.ranksOf(request.object)[upstream.memberIndex];
-        option.cost += std::min(static_cast<double>(rank) * rankPenaltyMs, maxRankPenaltyMs);
+        penalty += std::min(static_cast<double>(rank) * rankPenalty, maxRankPenalty);
     }
+    const double scaleMs =
+        service.times
+            .serviceTime(request.route, object_cache_state::uncached, request.latencyTarget)
+            .ms;
+    option.cost = option.expectedMs + penalty * scaleMs;
     option.costInRegion = option.cost;
-    if (upstream.neverUsed && upstream.region == m_settings.region
-        && option.expectedMs <= maxResponseMs(request))
-        option.costInRegion -= unusedBonusMs;
+    if (upstream.neverUsed && upstream.region == m_settings.region && isInTime(option, request))
+        option.costInRegion -= unusedBonus * scaleMs;
     return option;
 }
 
+void upstream_choice::recordBackoff(const upstream_record &upstream,
+                                    const upstream_choice_request &request, instant now,
+                                    service_options &options)
+{
+    if (upstream.evacuated || upstream.availability.isLeaving()
+        || (!request.regions.empty() && !request.regions.contains(upstream.region)))
+        return;
+    if (!upstream.availability.isBackingOff(now)) {
+        options.allBackOff = false;
+        return;
+    }
+    const instant end = upstream.availability.backoffUntil();
+    if (!options.firstBackoffEnd || end < *options.firstBackoffEnd)
+        options.firstBackoffEnd = end;
+}
+
 upstream_choice::service_options
 upstream_choice::surveyUpstreams(service_record &service, const upstream_choice_request &request,
                                  instant now)
@@ -280,14 +294,14 @@
         best.cost = cost;
     };
     service_options result;
-    average_times &times = service.timesByRoute[request.route];
     for (const upstream_id &id : service.members) {
         upstream_record &upstream = m_upstreams.at(id);
         if (hasUsableSlots(upstream, now))
             result.slots[upstream.region] += upstream.incarnation.slots;
+        recordBackoff(upstream, request, now, result);
         if (!mayUse(upstream, service, request, now))
             continue;
-        const choice_option option = evaluateUpstream(upstream, service, times, request, now);
+        const choice_option option = evaluateUpstream(upstream, service, request, now);
         keepCheaper(result.best[upstream.region], option);
         if (option.queueTimeMs <= maxQueueMs(request))
             keepCheaper(result.bestWithShortQueue[upstream.region], option);
@@ -295,6 +309,12 @@
     return result;
 }
 
+bool upstream_choice::isInTime(const choice_option &option, const upstream_choice_request &request)
+{
+    // An assumption would reject all requests, and then no measurement could ever correct it.
+    return !option.isMeasured || option.expectedMs <= maxResponseMs(request);
+}
+
 std::map<region_name, upstream_choice::choice_option>
 upstream_choice::timelyOptions(const service_options &found, const upstream_choice_request &request,
                                instant now)
@@ -309,7 +329,7 @@
             && best.upstream->averageLoad->at(now) < spreadLoadThreshold;
         if (best.queueTimeMs > maxQueueMs(request))
             option = maySpread ? other->second : choice_option{};
-        if (option.upstream != nullptr && option.expectedMs <= maxResponseMs(request))
+        if (option.upstream != nullptr && isInTime(option, request))
             result.emplace(region, option);
     }
     return result;
@@ -328,7 +348,8 @@
 
 bool upstream_choice::hasUsableSlots(const upstream_record &upstream, instant now)
 {
-    return !upstream.evacuated && now >= upstream.capacityLostUntil && now >= upstream.coldUntil;
+    return !upstream.evacuated && !upstream.availability.isLeaving()
+        && now >= upstream.capacityLostUntil && now >= upstream.coldUntil;
 }
 
 std::optional<chosen_upstream> upstream_choice::choose(const upstream_choice_request &request,
@@ -365,6 +386,9 @@
     }
     if (!taken) {
         reason.shiftCapped = preferred != options.end();
+        reason.allBackOff = available.allBackOff && available.firstBackoffEnd;
+        if (reason.allBackOff)
+            reason.retryAfter = std::chrono::ceil<milliseconds>(*available.firstBackoffEnd - now);
         shares.recordRefusal();
         return std::nullopt;
     }
--- a/src/relay/upstream_loads.cpp
+++ b/src/relay/upstream_loads.cpp
@@ -64,10 +64,14 @@
     return std::max(estimatedLoad(upstream, now) + 1 - slots, 0.0) / slots;
 }
 
-double upstream_choice::expectedQueueMs(const upstream_record &upstream,
-                                        const service_record &service, double slowness, instant now)
+time_estimate upstream_choice::expectedQueueTime(const upstream_record &upstream,
+                                                 const service_record &service,
+                                                 const upstream_choice_request &request,
+                                                 double slowness, instant now)
 {
-    return queueRounds(upstream, now) * service.queuedRequestMs * slowness;
+    time_estimate result = service.times.slotTime(request.latencyTarget);
+    result.ms *= queueRounds(upstream, now) * slowness;
+    return result;
 }
 
 } // namespace kingcuptiller
--- a/src/relay/upstream_observations.cpp
+++ b/src/relay/upstream_observations.cpp
@@ -1,5 +1,7 @@
 #include "kingcuptiller/relay/upstream_choice.h"
 
+#include "kingcuptiller/telemetry/log.h"
+
 #include <algorithm>
 #include <chrono>
 #include <cmath>
@@ -11,7 +13,6 @@
 namespace {
 
 // Weights of the newest observation in the moving averages.
-constexpr double durationWeight = 0.05;
 constexpr double slownessWeight = 0.15;
 constexpr double failureWeight = 0.1;
 // Limits of an upstream's service time relative to the average of its route and cache state.
@@ -100,8 +101,7 @@
         return;
     service_record &service = m_services.at(upstream.incarnation.service);
     const double perRequestMs = (toMs(elapsed) - roundTripMs(upstream)) / (1 + attempt.queueRounds);
-    service.queuedRequestMs +=
-        (std::max(perRequestMs, 1.0) - service.queuedRequestMs) * durationWeight;
+    service.times.recordSlotTime(std::max(perRequestMs, 1.0));
 }
 
 void upstream_choice::recordServiceTime(upstream_record &upstream,
@@ -113,14 +113,16 @@
     if (estimatedLoad(upstream, now) + 1 > upstream.incarnation.slots || now < upstream.coldUntil)
         return;
     const double serviceMs = std::max(toMs(elapsed) - roundTripMs(upstream), 1.0);
-    double &averageMs = service.timesByRoute[attempt.route].of(attempt.cacheState);
-    upstream.statistics.slowness +=
-        (std::clamp(serviceMs / averageMs, minSlowness, maxSlowness) - upstream.statistics.slowness)
-        * slownessWeight;
-    upstream.statistics.slowness =
-        std::clamp(upstream.statistics.slowness, minSlowness, maxSlowness);
-    averageMs +=
-        (serviceMs - averageMs) * durationWeight / std::max(upstream.statistics.slowness, 1.0);
+    const time_estimate expected =
+        service.times.serviceTime(attempt.route, attempt.cacheState, milliseconds(0));
+    double &slowness = upstream.statistics.slowness;
+    if (expected.isMeasured) {
+        const double relative = std::clamp(serviceMs / expected.ms, minSlowness, maxSlowness);
+        slowness += (relative - slowness) * slownessWeight;
+        slowness = std::clamp(slowness, minSlowness, maxSlowness);
+    }
+    service.times.recordServiceTime(attempt.route, attempt.cacheState, serviceMs,
+                                    1 / std::max(slowness, 1.0));
 }
 
 void upstream_choice::attemptFinished(const upstream_id &id, const upstream_attempt_record &attempt,
@@ -170,4 +172,23 @@
         recordColdStart(found->second, remaining, now);
 }
 
+void upstream_choice::applySignals(const upstream_id &id, const upstream_signals &signals,
+                                   instant now)
+{
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end())
+        return;
+    upstream_record &upstream = found->second;
+    const upstream_signals news = upstream.availability.apply(signals, now);
+    if (news.leaving)
+        log_line(log_level::info, "relay", "upstream_leaving")
+            .field("upstream", id.text())
+            .field("service", upstream.incarnation.service.text());
+    if (news.backoff)
+        log_line(log_level::info, "relay", "upstream_backoff")
+            .field("upstream", id.text())
+            .field("service", upstream.incarnation.service.text())
+            .field("for_ms", std::int64_t(news.backoff->count()));
+}
+
 } // namespace kingcuptiller
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -142,8 +142,8 @@
     static relay_options options()
     {
         relay_options result;
-        result.headers = {"X-Id",     "X-Time", "X-Object", "X-Upstream", "X-Seal",
-                          "X-NotRun", "X-Load", "X-Cold",   "Retry-After"};
+        result.headers = {"X-Id",     "X-Time", "X-Object", "X-Upstream",  "X-Seal",
+                          "X-NotRun", "X-Load", "X-Cold",   "Retry-After", "X-Leaving"};
         result.choice.region = region_name("r");
         result.choice.zone = zone_name("a");
         result.choice.regions = {{zone_name("a"), region_name("r")}};
