--- a/src/fleet/fleet_codec.cpp
+++ b/src/fleet/fleet_codec.cpp
@@ -4,7 +4,9 @@
 #include "../consensus/peer_json.h"
 #include "compressed_text.h"
 
+#include <charconv>
 #include <limits>
+#include <system_error>
 #include <type_traits>
 
 // JSON encoding of commands, snapshots and view differences.
@@ -122,6 +124,17 @@
     return entries;
 }
 
+// The key of an accepted configuration in a snapshot.
+revision_number versionFromKey(const std::string &key)
+{
+    std::uint64_t number = 0;
+    const char *const end = key.data() + key.size();
+    const auto parsed = std::from_chars(key.data(), end, number);
+    if (parsed.ec != std::errc() || parsed.ptr != end)
+        internal::reportMalformed("the accepted version " + key + " is not a number");
+    return revision_number(number);
+}
+
 Json::Value toJson(const configure_command &command)
 {
     Json::Value object;
@@ -207,9 +220,10 @@
     state.m_version = revision_number(unsignedField(object, "version"));
     state.m_document = internal::decompressText(internal::field(object, "document"));
     const Json::Value &accepted = internal::field(object, "accepted");
+    if (!accepted.isObject())
+        internal::reportMalformed("the field accepted is not an object");
     for (const std::string &version : accepted.getMemberNames())
-        state.m_acceptedDigests[revision_number(std::stoull(version))] =
-            stringField(accepted, version.c_str());
+        state.m_acceptedDigests[versionFromKey(version)] = stringField(accepted, version.c_str());
     for (const zone_name &zone : namesFromJson<zone_name>(object, "evacuated"))
         state.m_evacuated.insert(zone);
     for (const upstream_incarnation &incarnation : incarnationsFromJson(object, "upstreams"))
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -10,6 +10,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <exception>
 #include <thread>
 #include <utility>
 
@@ -99,7 +100,7 @@
         if (!view.document.empty()) {
             try {
                 configuration = m_decode(view.document);
-            } catch (const error &failure) {
+            } catch (const std::exception &failure) {
                 // Control hosts check a configuration before they accept it.
                 log_line(log_level::error, "entry", "configuration_refused")
                     .field("version", view.version.number())
--- a/src/node/fleet_feed.cpp
+++ b/src/node/fleet_feed.cpp
@@ -2,8 +2,8 @@
 
 #include "../consensus/peer_json.h"
 #include "kingcuptiller/telemetry/log.h"
-#include "kingcuptiller/values/error.h"
 
+#include <exception>
 #include <utility>
 
 namespace kingcuptiller {
@@ -186,7 +186,7 @@
             m_hosts = {m_view.controlHosts.begin(), m_view.controlHosts.end()};
         m_onView(m_view);
         m_view.document.clear();
-    } catch (const error &failure) {
+    } catch (const std::exception &failure) {
         log_line(log_level::error, "entry", "view_refused").field("reason", failure.what());
         drop("malformed_view");
     }
--- a/tests/fleet/fleet_state_test.cpp
+++ b/tests/fleet/fleet_state_test.cpp
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(drainingUpstreamDoesNotReturnToServingInSameIncarnation);
     CPPUNIT_TEST(newIncarnationReplacesTerminatedOne);
     CPPUNIT_TEST(snapshotAndCommandsRoundTripThroughJson);
+    CPPUNIT_TEST(damagedSnapshotsAreRefused);
     CPPUNIT_TEST(invalidConfigurationsAreRejected);
     CPPUNIT_TEST(routeWithLongestMatchingPrefixIsFound);
     CPPUNIT_TEST_SUITE_END();
@@ -141,6 +142,35 @@
         CPPUNIT_ASSERT(restored == state);
     }
 
+    // Guards against a damaged snapshot that ends the process or leaves half of its state in force.
+    void damagedSnapshotsAreRefused()
+    {
+        fleet_state state;
+        state.apply(configure(0, 4, "text"));
+        const std::string good = state.snapshot();
+        const auto replaced = [&good](const std::string &from, const std::string &to) {
+            std::string text = good;
+            const std::size_t position = text.find(from);
+            CPPUNIT_ASSERT_MESSAGE(from, position != std::string::npos);
+            return text.replace(position, from.size(), to);
+        };
+        const std::vector<std::string> snapshots = {
+            "",
+            good.substr(0, good.size() / 2),
+            replaced("\"accepted\":{\"4\"", "\"accepted\":{\"four\""),
+            replaced("\"accepted\":{\"4\"", "\"accepted\":{\"\""),
+            replaced("\"accepted\":{\"4\"", "\"accepted\":{\"99999999999999999999999\""),
+            replaced("\"accepted\":{", "\"accepted\":[],\"x\":{"),
+            replaced("\"upstreams\":[]", "\"upstreams\":[1]"),
+            replaced("\"upstreams\":[]", "\"upstreams\":" + std::string(100'000, '[')),
+        };
+        for (const std::string &each : snapshots) {
+            fleet_state restored = state;
+            CPPUNIT_ASSERT_THROW_MESSAGE(each.substr(0, 200), restored.restore(each), error);
+            CPPUNIT_ASSERT(restored == state);
+        }
+    }
+
     // Guards against accepting a configuration that contradicts itself or has values out of range.
     void invalidConfigurationsAreRejected()
     {
--- a/tests/platform/wire_codec_test.cpp
+++ b/tests/platform/wire_codec_test.cpp
@@ -139,6 +139,35 @@
             {"sequence of another type",
              R"({"address":"10.0.0.9:80",)" + info
                  + R"(,"status":{"state":"ready","sequence":"4"}})"},
+            {"deep nesting", R"({"address":)" + std::string(100'000, '[')},
+            {"deep nesting, closed",
+             R"({"x":)" + std::string(50'000, '[') + std::string(50'000, ']') + "}"},
+            {"port out of range", R"({"address":"10.0.0.9:65536",)" + info + "," + status + "}"},
+            {"port 0", R"({"address":"10.0.0.9:0",)" + info + "," + status + "}"},
+            {"negative port", R"({"address":"10.0.0.9:-80",)" + info + "," + status + "}"},
+            {"port of many digits",
+             R"({"address":"10.0.0.9:)" + std::string(400, '9') + "\"," + info + "," + status
+                 + "}"},
+            {"slots of many digits",
+             R"({"address":"10.0.0.9:80","info":{"service":"s","zone":"a","slots":)"
+                 + std::string(400, '9') + "}," + status + "}"},
+            {"more slots than any upstream has",
+             R"({"address":"10.0.0.9:80","info":{"service":"s","zone":"a","slots":999999999},)"
+                 + status + "}"},
+            {"infinite slots",
+             R"({"address":"10.0.0.9:80","info":{"service":"s","zone":"a","slots":1e999},)" + status
+                 + "}"},
+            {"born beyond 64 bits",
+             R"({"address":"10.0.0.9:80","born":18446744073709551615,)" + info + "," + status
+                 + "}"},
+            {"born in a far future",
+             R"({"address":"10.0.0.9:80","born":9223372036854775807,)" + info + "," + status + "}"},
+            {"sequence beyond 64 bits",
+             R"({"address":"10.0.0.9:80",)" + info
+                 + R"(,"status":{"state":"ready","sequence":1e300}})"},
+            {"cold for years",
+             R"({"address":"10.0.0.9:80",)" + info
+                 + R"(,"status":{"state":"ready","sequence":4,"coldRemainingMs":1e11}})"},
             {"born of another type",
              R"({"address":"10.0.0.9:80","born":"x",)" + info + "," + status + "}"},
         };
