Keep a control host running while its disk is full

Messages with a list of hosts that are no texts threw an exception of the JSON library, which ended the process. Change: the host closes its replica, as an end of the process would, and opens it again from its files until that succeeds; calls get not_leader and entries are told that it is not current meanwhile. Any exception of a frame closes its connection only. Ruled out: that changes stay refused after the last disk has room; they were accepted before, too.

--- a/include/kingcuptiller/node/control_node.h
+++ b/include/kingcuptiller/node/control_node.h
@@ -4,6 +4,7 @@
 #include "kingcuptiller/fleet/fleet_control.h"
 #include "kingcuptiller/node/frame_connection.h"
 #include "kingcuptiller/relay/http_types.h"
+#include "kingcuptiller/storage/disk.h"
 #include "kingcuptiller/storage/replica_store.h"
 #include "kingcuptiller/telemetry/counters.h"
 
@@ -31,6 +32,10 @@
     // The fleet starts for the first time: the seeds form it.
     bool founding = false;
     std::string dataFolder;
+    // Opens the data folder; see `posixDisk`.
+    std::function<disk(const std::string &folder)> openDisk = posixDisk;
+    // How long the host waits before it opens its data folder again after a failed write.
+    milliseconds reopenInterval{200};
     std::size_t maximumVoters = 5;
     replica_settings replicas;
     fleet_control_options fleet;
@@ -46,6 +51,11 @@
 // A control host: a replica of the fleet's state, its connections to the other control hosts and to
 // entries. Calls may come to any control host, which passes them on to the leader. All of it runs
 // in the thread that runs `context`; that is the thread of the control state.
+//
+// When the disk refuses a write, for example because it is full, what the files hold is unknown. The
+// host then closes its replica, as if the process had ended, and opens it again from the files until
+// that succeeds. Meanwhile it answers calls with `not_leader` and tells entries that it is not
+// current.
 class control_node
 {
 public:
@@ -115,7 +125,14 @@
     };
 
     void openReplica(bool founding);
+    std::unique_ptr<replica_store> openStore(bool founding);
+    // Runs `action`. When the disk fails in it, closes the replica.
+    void guardDisk(const std::function<void()> &action);
+    void closeReplica(const std::string &reason);
+    // Opens the replica again once the interval since the failure is over.
+    void reopenReplica();
     void round();
+    void runReplica();
     void scheduleRound();
     void scheduleTick();
     void followLeadership();
@@ -147,8 +164,10 @@
     boost::asio::io_context &m_context;
     control_node_options m_options;
     counter_registry &m_counters;
+    // Both are null after the disk has failed.
     std::unique_ptr<replica_store> m_store;
     std::unique_ptr<replica> m_replica;
+    instant m_reopenTime;
     std::unique_ptr<fleet_control> m_control;
     epoch_number m_leadingTerm;
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/src/node/control_calls.cpp
+++ b/src/node/control_calls.cpp
@@ -57,7 +57,7 @@
     } else if (text.operation == "entry_gone") {
         m_control->removeEntry(decodeServingEntry(text.body).address, now);
         withCode(result_code::ok);
-    } else if (text.operation == "read" && m_replica->hasLease(now)) {
+    } else if (text.operation == "read" && m_replica && m_replica->hasLease(now)) {
         done({result_code::ok, m_control->state().document()});
     } else {
         withCode(result_code::not_leader);
@@ -70,7 +70,7 @@
         answerHere(text, done);
         return;
     }
-    const host_id leader = m_replica->status().leader;
+    const host_id leader = m_replica ? m_replica->status().leader : host_id();
     const auto link = m_peers.find(leader);
     if (leader.empty() || link == m_peers.end() || !link->second.connection) {
         done({result_code::not_leader, {}});
--- a/src/node/control_links.cpp
+++ b/src/node/control_links.cpp
@@ -64,7 +64,7 @@
 {
     if (host == m_options.host || host.empty())
         return;
-    if (m_peers.try_emplace(host).second)
+    if (m_peers.try_emplace(host).second && m_replica)
         m_replica->addJoinTarget(host);
 }
 
@@ -142,7 +142,10 @@
             noteIntroduction(received.body);
             break;
         case frame_kind::peer:
-            m_replica->receive(decodePeerMessage(received.body), m_options.now());
+            if (!m_replica)
+                break;
+            guardDisk(
+                [&] { m_replica->receive(decodePeerMessage(received.body), m_options.now()); });
             scheduleRound();
             break;
         case frame_kind::call:
@@ -160,9 +163,7 @@
         default:
             break;
         }
-    } catch (const error &failure) {
-        if (failure.code() == result_code::disk_failed)
-            throw;
+    } catch (const std::exception &failure) {
         log_line(log_level::warning, "control", "frame_refused").field("reason", failure.what());
         connection->close();
     }
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -1,6 +1,5 @@
 #include "kingcuptiller/node/control_node.h"
 
-#include "kingcuptiller/storage/disk.h"
 #include "kingcuptiller/telemetry/log.h"
 #include "kingcuptiller/values/error.h"
 
@@ -53,22 +52,8 @@
                 return fleet_log_position{*index, m_replica->status().term};
             },
             [this] { return m_replica->hasLease(m_options.now()); }});
-    if (!m_store) {
-        const auto open = [this](bool asFounder) {
-            return std::make_unique<replica_store>(
-                posixDisk(m_options.dataFolder),
-                store_options{m_options.host, asFounder,
-                              [this] { return fmt::format("{:016x}", m_options.random()); }});
-        };
-        try {
-            m_store = open(founding);
-        } catch (const error &failure) {
-            // The folder holds a replica already: the process was started again.
-            if (failure.code() != result_code::data_folder_not_founding)
-                throw;
-            m_store = open(false);
-        }
-    }
+    if (!m_store)
+        m_store = openStore(founding);
     m_replica = std::make_unique<replica>(
         m_options.replicas,
         replica_hooks{[this] { return m_control->state().snapshot(); },
@@ -82,6 +67,59 @@
         .field("last_index", m_store->lastIndex().number());
 }
 
+std::unique_ptr<replica_store> control_node::openStore(bool founding)
+{
+    const auto open = [this](bool asFounder) {
+        return std::make_unique<replica_store>(
+            m_options.openDisk(m_options.dataFolder),
+            store_options{m_options.host, asFounder,
+                          [this] { return fmt::format("{:016x}", m_options.random()); }});
+    };
+    try {
+        return open(founding);
+    } catch (const error &failure) {
+        // The folder holds a replica already: the process was started again.
+        if (failure.code() != result_code::data_folder_not_founding)
+            throw;
+        return open(false);
+    }
+}
+
+void control_node::guardDisk(const std::function<void()> &action)
+{
+    try {
+        action();
+    } catch (const error &failure) {
+        if (failure.code() != result_code::disk_failed)
+            throw;
+        closeReplica(failure.what());
+    }
+}
+
+void control_node::closeReplica(const std::string &reason)
+{
+    if (m_replica)
+        log_line(log_level::error, "control", "replica_closed").field("reason", reason);
+    else
+        log_line(log_level::debug, "control", "replica_not_opened").field("reason", reason);
+    m_current = false;
+    m_control->stopLeading();
+    m_replica.reset();
+    m_store.reset();
+    m_reopenTime = m_options.now() + m_options.reopenInterval;
+}
+
+void control_node::reopenReplica()
+{
+    if (m_options.now() < m_reopenTime)
+        return;
+    guardDisk([this] {
+        openReplica(false);
+        for (const auto &[host, link] : m_peers)
+            m_replica->addJoinTarget(host);
+    });
+}
+
 void control_node::scheduleTick()
 {
     m_tick.expires_after(m_options.tickInterval);
@@ -115,6 +153,16 @@
 }
 
 void control_node::round()
+{
+    if (!m_replica)
+        reopenReplica();
+    if (m_replica)
+        guardDisk([this] { runReplica(); });
+    expireCalls();
+    dialPeers();
+}
+
+void control_node::runReplica()
 {
     const instant now = m_options.now();
     m_replica->tick(now);
@@ -126,8 +174,6 @@
     sendOutgoing();
     noteEvents();
     m_current = m_replica->isCurrent(now);
-    expireCalls();
-    dialPeers();
     sendViews();
     if (m_replica->status().superseded) {
         log_line(log_level::warning, "control", "identity_abandoned")
--- a/tests/node/control_node_test.cpp
+++ b/tests/node/control_node_test.cpp
@@ -1,4 +1,5 @@
 #include "kingcuptiller/node/control_node.h"
+#include "kingcuptiller/storage/disk.h"
 #include "kingcuptiller/transport/free_port.h"
 #include "kingcuptiller/transport/system_clock.h"
 #include "kingcuptiller/values/error.h"
@@ -12,7 +13,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <array>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -81,6 +84,104 @@
     std::shared_ptr<frame_connection> m_connection;
 };
 
+// A folder on a disk that refuses all writes while `full` is set.
+disk diskThatFillsUp(const std::string &folder, const std::shared_ptr<bool> &full)
+{
+    const disk files = posixDisk(folder);
+    const auto refuseIfFull = [full] {
+        if (*full)
+            throw error(result_code::disk_failed, "no space left on device");
+    };
+    disk result = files;
+    result.append = [files, full, refuseIfFull](const std::string &name, std::string_view bytes) {
+        // A full disk still takes the first part of a write.
+        if (*full)
+            files.append(name, bytes.substr(0, bytes.size() / 2));
+        refuseIfFull();
+        files.append(name, bytes);
+    };
+    result.sync = [files, refuseIfFull](const std::string &name) {
+        refuseIfFull();
+        files.sync(name);
+    };
+    return result;
+}
+
+// A group of three control hosts whose disks can fill up.
+struct control_group
+{
+    struct member
+    {
+        temporary_folder folder;
+        std::shared_ptr<bool> full = std::make_shared<bool>(false);
+        counter_registry counters;
+        std::unique_ptr<control_node> node;
+    };
+
+    control_group()
+    {
+        for (std::size_t i = 0; i < members.size(); ++i) {
+            member &each = members[i];
+            control_node_options options;
+            options.host = hosts[i];
+            options.port = port;
+            options.seeds = hosts;
+            options.founding = true;
+            options.dataFolder = each.folder.path;
+            options.openDisk = [full = each.full](const std::string &folder) {
+                return diskThatFillsUp(folder, full);
+            };
+            options.now = readInstant;
+            options.random = [] { return std::uint64_t{std::random_device()()}; };
+            each.node = std::make_unique<control_node>(context, options, each.counters);
+        }
+    }
+
+    // Sends a configuration to the hosts in turn until one accepts it.
+    bool configure(std::uint64_t version, const std::string &document)
+    {
+        for (std::size_t attempt = 0; attempt < 200; ++attempt) {
+            result_code code = result_code::not_leader;
+            bool answered = false;
+            control_node &node = *members[attempt % members.size()].node;
+            asio::co_spawn(
+                context,
+                [&]() -> asio::awaitable<void> {
+                    fleet_command command = configure_command{
+                        revision_number(version), revision_number(version - 1), document};
+                    code = co_await node.submitCommand(std::move(command));
+                    answered = true;
+                },
+                asio::detached);
+            runUntil(context, [&] { return answered; });
+            if (code == result_code::ok)
+                return true;
+            context.run_for(std::chrono::milliseconds(20));
+        }
+        return false;
+    }
+
+    std::optional<std::string> read(std::size_t member)
+    {
+        std::optional<std::string> document;
+        bool answered = false;
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> {
+                document = co_await members[member].node->readDocument();
+                answered = true;
+            },
+            asio::detached);
+        runUntil(context, [&] { return answered; });
+        return document;
+    }
+
+    asio::io_context context;
+    std::uint16_t port = findFreePort();
+    std::vector<host_id> hosts{host_id("127.0.0.11"), host_id("127.0.0.12"), host_id("127.0.0.13")};
+    std::array<member, 3> members;
+};
+
 // A fleet of one control host.
 struct control_world
 {
@@ -148,6 +249,8 @@
     CPPUNIT_TEST(entriesInStepShareOneEncodedView);
     CPPUNIT_TEST(largeConfigurationIsSmallOnTheWire);
     CPPUNIT_TEST(packedDocumentsThatCannotBeReadAreRefused);
+    CPPUNIT_TEST(disksThatAreFullOneAfterAnotherDoNotStopChanges);
+    CPPUNIT_TEST(malformedFramesCloseTheirConnectionOnly);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -243,6 +346,65 @@
         CPPUNIT_ASSERT(command == decodeFleetCommand(encodeFleetCommand(command)));
     }
 
+    // Guards against one malformed message that ends the process of a control host.
+    void malformedFramesCloseTheirConnectionOnly()
+    {
+        const std::vector<std::string> bodies = {
+            "",
+            "\xff\xfe",
+            "[]",
+            "{}",
+            std::string(100'000, '['),
+            R"({"host":"127.0.0.6","known":[{}]})",
+            R"({"host":"127.0.0.6","known":[[],"x",1e999]})",
+            R"({"host":"127.0.0.6","known":[null,{"a":[1]}]})",
+            R"({"host":7,"known":{}})",
+            R"({"id":1,"from":"127.0.0.6","operation":"order","body":"{}"})",
+            R"({"id":1,"from":"127.0.0.6","operation":"announce","body":"[1]"})",
+            R"({"id":-1,"from":[],"operation":{},"body":1e300})",
+            R"({"id":18446744073709551616,"code":"odd","body":""})",
+            R"({"version":"1","commands":-1,"serving":"yes","entry":{}})",
+            R"({"version":1,"commands":0,"serving":true,"entry":"{\"address\":[]}"})",
+        };
+        control_world world;
+        CPPUNIT_ASSERT(world.configure(1, documentOf(1)));
+        for (const std::string &body : bodies) {
+            for (const char kind : std::string("ipcreqvks")) {
+                asio::ip::tcp::socket socket(world.context);
+                socket.connect(world.address());
+                const auto connection = std::make_shared<frame_connection>(std::move(socket));
+                connection->start([](const frame &) {}, [] {});
+                connection->send(static_cast<frame_kind>(kind), body);
+                world.context.run_for(std::chrono::milliseconds(1));
+            }
+        }
+        CPPUNIT_ASSERT(world.configure(2, documentOf(2)));
+    }
+
+    // Guards against a control host that ends when its disk is full, and against one that never
+    // takes part again although its disk has room: with several of them, changes are refused for
+    // good.
+    void disksThatAreFullOneAfterAnotherDoNotStopChanges()
+    {
+        control_group group;
+        std::uint64_t version = 1;
+        CPPUNIT_ASSERT(group.configure(version, documentOf(version)));
+        for (control_group::member &each : group.members) {
+            *each.full = true;
+            ++version;
+            CPPUNIT_ASSERT_MESSAGE("disk full, version " + std::to_string(version),
+                                   group.configure(version, documentOf(version)));
+            *each.full = false;
+            ++version;
+            CPPUNIT_ASSERT_MESSAGE("disk has room, version " + std::to_string(version),
+                                   group.configure(version, documentOf(version)));
+        }
+        // All hosts are needed to outvote one that is lost, so each must have caught up.
+        for (std::size_t member = 0; member < group.members.size(); ++member)
+            CPPUNIT_ASSERT(
+                runUntil(group.context, [&] { return group.read(member) == documentOf(version); }));
+    }
+
     void packedDocumentsThatCannotBeReadAreRefused()
     {
         for (const std::string document :
--- a/tests/node/entry_node_test.cpp
+++ b/tests/node/entry_node_test.cpp
@@ -137,7 +137,7 @@
     static entry_platform platform()
     {
         return {{"X-Id", "X-Time", "X-Object", "X-Upstream", "X-Seal", "X-NotRun", "X-Load",
-                 "X-Cold", "Retry-After"},
+                 "X-Cold", "Retry-After", "X-Leaving"},
                 [](const std::string &) {
                     traffic_configuration configuration;
                     configuration.version = revision_number(1);
