Prefer one upstream of a region, and one region, for each object

Each new upstream of an object costs an uncached answer. Change: upstreams are ranked in a whole region; an object prefers a region by weighted rendezvous hashing over the region's shares; 'preferred, but not seen by this entry' has a service time of its own. A planned stop still rejects by an assumed time.

--- a/include/kingcuptiller/relay/region_shares.h
+++ b/include/kingcuptiller/relay/region_shares.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <string>
 #include <vector>
 
 namespace kingcuptiller {
@@ -32,7 +33,8 @@
     auto operator<=>(const region_resources &) const = default;
 };
 
-// A number for each region; the use defines its meaning: a share, a slot count or a cost.
+// A number for each region; the use defines its meaning: a share, a slot count, or a cost relative
+// to the time of one request.
 using region_weights = std::map<region_name, double>;
 
 // Returns the initial share of each region for the requests of the region `home`. Assuming equal
@@ -81,7 +83,7 @@
     void setSlots(const region_weights &slots);
 
     // Returns the region that serves a request, or nothing when none may take it. `costs` has the
-    // cost of each region that can serve the request, in equivalent milliseconds of response time.
+    // cost of each region that can serve the request, relative to the time of one request.
     // `isRetry` is true when an earlier attempt of the request was sent.
     [[nodiscard]] std::optional<region_name> pickRegion(const region_weights &costs,
                                                         bool isRetry = false);
@@ -98,6 +100,11 @@
     // How much of the tolerance beyond its share a region has used: 0 for none, 1 for all of it.
     [[nodiscard]] double overuse(const region_name &region) const;
 
+    // Returns the region that requests for an object prefer, so that the object is cached in few
+    // regions. The share of the objects that prefer a region is its share of the requests. It
+    // depends on the name of the object and the shares only, and when shares move, few objects do.
+    [[nodiscard]] std::optional<region_name> preferredRegion(const std::string &object) const;
+
     // Records a request that is sent to `taken` and whose lowest cost was in `preferredRegion`.
     void recordDecision(const region_name &preferredRegion, const region_name &taken);
     // Records a request that no region may take. It increases no deficit; otherwise the share of
--- a/include/kingcuptiller/relay/service_times.h
+++ b/include/kingcuptiller/relay/service_times.h
@@ -17,7 +17,11 @@
 enum class object_cache_state : std::uint8_t {
     // The request refers to no object.
     no_object,
+    // This entry has sent a request for the object to the upstream lately.
     cached,
+    // The upstream is the preferred one for the object, so other entries may have sent it requests
+    // for the object.
+    preferred,
     uncached,
 };
 
@@ -73,7 +77,7 @@
         void add(double newMs, double weight);
     };
 
-    static constexpr std::size_t cacheStateCount = 3;
+    static constexpr std::size_t cacheStateCount = 4;
 
     std::map<std::string, std::array<moving_average, cacheStateCount>> m_byRoute;
     moving_average m_slotTime;
--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -113,6 +113,9 @@
     std::optional<region_name> previousRegion = std::nullopt;
     // The name of the request's route. Service times are estimated for each route.
     std::string route{};
+    // Whether a time that is only assumed may reject the request. Set where the request would be
+    // aborted if it took longer, and another entry can serve it.
+    bool rejectByAssumption = false;
 };
 
 // The upstream that was chosen for a request, with the estimates behind the choice.
@@ -331,11 +334,23 @@
     [[nodiscard]] static std::map<region_name, choice_option>
     timelyOptions(const service_options &found, const upstream_choice_request &request,
                   instant now);
+    // The cost of each region, relative to `timeScaleMs`.
+    [[nodiscard]] static region_weights
+    regionCosts(const std::map<region_name, choice_option> &options, const service_record &service,
+                const upstream_choice_request &request);
+    // The expected service time of an uncached object: the scale of all times of a route, in
+    // milliseconds.
+    [[nodiscard]] static double timeScaleMs(const service_record &service,
+                                            const upstream_choice_request &request);
     void initializeShares(service_record &service, const region_weights &slots, instant now) const;
     // Whether the slots of the upstream count as capacity: it is not cold, not failing and not in
     // an evacuated zone, from which an operator removes all traffic.
     [[nodiscard]] static bool hasUsableSlots(const upstream_record &upstream, instant now);
+    // The rank of the upstream for the request's object, 0 without an object.
+    [[nodiscard]] static object_placement::rank
+    rankOf(const upstream_record &upstream, service_record &service, const std::string &object);
     [[nodiscard]] static object_cache_state cacheStateOf(const upstream_record &upstream,
+                                                         service_record &service,
                                                          const std::string &object);
     // The estimated number of requests at an upstream: those of this entry in flight, plus those of
     // other entries. The latter move from the upstream's last report to the average of its service
@@ -357,7 +372,7 @@
                                                          double slowness, instant now);
     // The expected service time for the cache state of the request's object.
     [[nodiscard]] static time_estimate serviceTime(const upstream_record &upstream,
-                                                   const service_record &service,
+                                                   service_record &service,
                                                    const upstream_choice_request &request,
                                                    double slowness, instant now);
     // Whether the request may be sent to the upstream. Refills the upstream's cold token bucket.
--- a/src/relay/object_placement.cpp
+++ b/src/relay/object_placement.cpp
@@ -3,7 +3,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <array>
 #include <tuple>
 #include <utility>
 
@@ -14,8 +13,6 @@
 // Ranks of at most this many objects are cached. The limit bounds memory, because clients choose
 // the names of objects.
 constexpr std::size_t maxCachedObjects = 4'096;
-// The number of enumerators of `proximity`.
-constexpr std::size_t proximityCount = 3;
 
 std::uint64_t hashOf(const std::string &object, const std::string &name)
 {
@@ -33,30 +30,41 @@
     m_ranks.clear();
 }
 
-std::vector<std::size_t> object_placement::computeRanks(const std::string &object) const
+std::vector<object_placement::rank> object_placement::computeRanks(const std::string &object,
+                                                                   placement_scope scope) const
 {
-    using ranked_member = std::tuple<proximity, std::uint64_t, std::size_t>;
+    // The group that is ranked together, the hash and the index of a member.
+    using ranked_member = std::tuple<std::pair<region_name, bool>, std::uint64_t, std::size_t>;
     std::vector<ranked_member> order;
     order.reserve(m_members.size());
-    for (std::size_t index = 0; index < m_members.size(); ++index)
-        order.emplace_back(m_members[index].proximityToEntry,
-                           hashOf(object, m_members[index].id.text()), index);
+    for (std::size_t index = 0; index < m_members.size(); ++index) {
+        const member &each = m_members[index];
+        const bool isApart =
+            scope == placement_scope::zone && each.proximityToEntry == proximity::same_zone;
+        order.emplace_back(std::pair(each.region, isApart), hashOf(object, each.id.text()), index);
+    }
     std::sort(order.begin(), order.end());
-    std::array<std::size_t, proximityCount> next{};
-    std::vector<std::size_t> ranks(m_members.size());
-    for (const auto &[proximityToEntry, hash, index] : order)
-        ranks[index] = next.at(static_cast<std::size_t>(proximityToEntry))++;
+    std::vector<rank> ranks(m_members.size());
+    rank next = 0;
+    for (std::size_t position = 0; position < order.size(); ++position) {
+        const bool beginsGroup =
+            position == 0 || std::get<0>(order[position]) != std::get<0>(order[position - 1]);
+        next = beginsGroup ? rank(0) : std::min(static_cast<rank>(next + 1), maxRank);
+        ranks[std::get<2>(order[position])] = next;
+    }
     return ranks;
 }
 
-const std::vector<std::size_t> &object_placement::ranksOf(const std::string &object)
+const std::vector<object_placement::rank> &object_placement::ranksOf(const std::string &object,
+                                                                     placement_scope scope)
 {
-    const auto known = m_ranks.find(object);
-    if (known != m_ranks.end())
-        return known->second;
-    if (m_ranks.size() >= maxCachedObjects)
-        m_ranks.clear();
-    return m_ranks[object] = computeRanks(object);
+    auto &known = m_ranks[scope];
+    const auto found = known.find(object);
+    if (found != known.end())
+        return found->second;
+    if (known.size() >= maxCachedObjects)
+        known.clear();
+    return known[object] = computeRanks(object, scope);
 }
 
 } // namespace kingcuptiller
--- a/src/relay/region_shares.cpp
+++ b/src/relay/region_shares.cpp
@@ -1,8 +1,11 @@
 #include "kingcuptiller/relay/region_shares.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <cstdint>
 #include <iterator>
 #include <limits>
 #include <utility>
@@ -13,7 +16,7 @@
 
 // The part of the shift cap by which the shares move. The rest allows for the tolerance below and
 // for entries whose traffic changes.
-constexpr double movementShare = 0.65;
+constexpr double movementShare = 0.5;
 // The tolerance is the number of requests that a region may take beyond its share, so that the
 // shares do not force the region of every request. It is `toleranceShare` of the requests per
 // window, or `toleranceRequests` if that is more. With few requests, `toleranceRequests` could be
@@ -21,9 +24,9 @@
 constexpr double toleranceShare = 0.03;
 constexpr double toleranceRequests = 2;
 constexpr double maxToleranceShare = 0.1;
-// The cost of a region that has used all of its tolerance, in equivalent milliseconds of response
-// time, and proportionally less before. It moves the requests with the cheapest alternative first.
-constexpr double overusePenaltyMs = 600;
+// The cost of a region that has used all of its tolerance, relative to the time of one request, and
+// proportionally less before. It moves the requests with the cheapest alternative first.
+constexpr double overusePenalty = 0.67;
 // The smallest time since the newest request, in seconds, that the request rate is computed from.
 constexpr double minSecondsSinceRequest = 0.001;
 // Weight of the newest request in the preference of each region.
@@ -32,6 +35,8 @@
 // A full region may get free capacity only after traffic has dropped. Making up for a larger
 // deficit would then take most of the few requests.
 constexpr double maxDeficitShare = 0.2;
+// The number of values of a hash of 53 bits, which a double holds exactly.
+constexpr double hashValues = 9'007'199'254'740'992;
 
 } // namespace
 
@@ -134,7 +139,7 @@
     std::optional<region_name> picked;
     double leastCost = std::numeric_limits<double>::max();
     for (const auto &[region, ownCost] : costs) {
-        const double cost = ownCost + overuse(region) * overusePenaltyMs;
+        const double cost = ownCost + overuse(region) * overusePenalty;
         if (mayTake(region) && cost < leastCost) {
             picked = region;
             leastCost = cost;
@@ -155,6 +160,27 @@
     return tolerance() < 1;
 }
 
+std::optional<region_name> region_shares::preferredRegion(const std::string &object) const
+{
+    // Weighted rendezvous hashing.
+    std::optional<region_name> preferred;
+    double leastScore = std::numeric_limits<double>::max();
+    const std::uint64_t seed = XXH3_64bits(object.data(), object.size());
+    for (const auto &[name, region] : m_regions) {
+        if (region.share <= 0)
+            continue;
+        const std::uint64_t hash =
+            XXH3_64bits_withSeed(name.text().data(), name.text().size(), seed);
+        const double uniform = (static_cast<double>(hash >> 11U) + 0.5) / hashValues;
+        const double score = -std::log(uniform) / region.share;
+        if (score < leastScore) {
+            preferred = name;
+            leastScore = score;
+        }
+    }
+    return preferred;
+}
+
 region_name region_shares::drawRegion(std::vector<region_name> regions)
 {
     if (regions.empty()) {
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -205,7 +205,7 @@
         const auto upstream = m_upstreamChoice.choose(
             {progress.service, progress.object, progress.route.regions,
              progress.route.latencyTarget, maximumDuration, progress.triedUpstreams,
-             progress.previousRegion, progress.route.name},
+             progress.previousRegion, progress.route.name, m_processEnd.has_value()},
             now, reason);
         if (!upstream && progress.mayHaveRun)
             co_return endWithUnknownOutcome(progress, "no_upstream");
--- a/src/relay/service_times.cpp
+++ b/src/relay/service_times.cpp
@@ -12,14 +12,24 @@
 // requests meet when their object is cached.
 constexpr double assumedUncachedShare = 1.5;
 constexpr double assumedCachedShare = 0.5;
-// The assumed service time of an uncached object relative to a cached one.
-constexpr double assumedCacheGain = assumedUncachedShare / assumedCachedShare;
+
+double assumedShare(object_cache_state cacheState)
+{
+    switch (cacheState) {
+    case object_cache_state::no_object:
+    case object_cache_state::cached:
+        return assumedCachedShare;
+    case object_cache_state::preferred:
+        return (assumedCachedShare + assumedUncachedShare) / 2;
+    case object_cache_state::uncached:
+        break;
+    }
+    return assumedUncachedShare;
+}
 
 double assumedMs(object_cache_state cacheState, milliseconds latencyTarget)
 {
-    const double targetMs = std::max(static_cast<double>(latencyTarget.count()), 1.0);
-    return targetMs
-        * (cacheState == object_cache_state::uncached ? assumedUncachedShare : assumedCachedShare);
+    return std::max(static_cast<double>(latencyTarget.count()), 1.0) * assumedShare(cacheState);
 }
 
 } // namespace
@@ -44,15 +54,15 @@
     const moving_average &own = averageOf(cacheState);
     if (own.observations > 0)
         return {own.ms, true};
-    // The other state of the cache shows the scale at least.
-    if (cacheState == object_cache_state::uncached) {
-        const moving_average &cached = averageOf(object_cache_state::cached);
-        if (cached.observations > 0)
-            return {cached.ms * assumedCacheGain, false};
-    } else if (cacheState == object_cache_state::cached) {
-        const moving_average &uncached = averageOf(object_cache_state::uncached);
-        if (uncached.observations > 0)
-            return {uncached.ms / assumedCacheGain, false};
+    if (cacheState == object_cache_state::no_object)
+        return {assumedMs(cacheState, latencyTarget), false};
+    // Another state of the cache shows the scale at least.
+    for (const object_cache_state other :
+         {object_cache_state::uncached, object_cache_state::preferred,
+          object_cache_state::cached}) {
+        const moving_average &known = averageOf(other);
+        if (known.observations > 0)
+            return {known.ms * assumedShare(cacheState) / assumedShare(other), false};
     }
     return {assumedMs(cacheState, latencyTarget), false};
 }
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -41,6 +41,9 @@
 // object evicts another, whose next request then takes three times as long.
 constexpr double rankPenalty = 4;
 constexpr double maxRankPenalty = 12;
+// The cost of a region other than the one that an object prefers. Where a region sends most of its
+// requests elsewhere, each object would otherwise be cached in all regions.
+constexpr double otherRegionPenalty = 0.4;
 // A random cost up to this limit is added for requests without an object. Otherwise all entries
 // with the same load information would choose the same upstream.
 constexpr double maxRandomPenalty = 0.11;
@@ -152,19 +155,31 @@
         service.times.eraseRoutes(
             [&](const std::string &route) { return !routes.contains(route); });
         std::vector<object_placement::member> members;
-        for (const upstream_id &id : service.members)
-            members.push_back({id, proximityOf(m_upstreams.at(id))});
+        for (const upstream_id &id : service.members) {
+            const upstream_record &upstream = m_upstreams.at(id);
+            members.push_back({id, upstream.region, proximityOf(upstream)});
+        }
         service.placement.setMembers(std::move(members));
     }
 }
 
+object_placement::rank upstream_choice::rankOf(const upstream_record &upstream,
+                                               service_record &service, const std::string &object)
+{
+    if (object.empty())
+        return 0;
+    return service.placement.ranksOf(object, placement_scope::region)[upstream.memberIndex];
+}
+
 object_cache_state upstream_choice::cacheStateOf(const upstream_record &upstream,
-                                                 const std::string &object)
+                                                 service_record &service, const std::string &object)
 {
     if (object.empty())
         return object_cache_state::no_object;
-    return upstream.objects.positions.contains(object) ? object_cache_state::cached
-                                                       : object_cache_state::uncached;
+    if (upstream.objects.positions.contains(object))
+        return object_cache_state::cached;
+    return rankOf(upstream, service, object) == 0 ? object_cache_state::preferred
+                                                  : object_cache_state::uncached;
 }
 
 double upstream_choice::roundTripMs(const upstream_record &upstream) const
@@ -197,13 +212,12 @@
     return m_settings.crossRegionPenalty;
 }
 
-time_estimate upstream_choice::serviceTime(const upstream_record &upstream,
-                                           const service_record &service,
+time_estimate upstream_choice::serviceTime(const upstream_record &upstream, service_record &service,
                                            const upstream_choice_request &request, double slowness,
                                            instant now)
 {
     time_estimate work = service.times.serviceTime(
-        request.route, cacheStateOf(upstream, request.object), request.latencyTarget);
+        request.route, cacheStateOf(upstream, service, request.object), request.latencyTarget);
     work.ms *= now < upstream.coldUntil ? slowness * coldSlowdown : slowness;
     return work;
 }
@@ -235,6 +249,14 @@
     return true;
 }
 
+double upstream_choice::timeScaleMs(const service_record &service,
+                                    const upstream_choice_request &request)
+{
+    return service.times
+        .serviceTime(request.route, object_cache_state::uncached, request.latencyTarget)
+        .ms;
+}
+
 upstream_choice::choice_option
 upstream_choice::evaluateUpstream(upstream_record &upstream, service_record &service,
                                   const upstream_choice_request &request, instant now)
@@ -253,8 +275,8 @@
     if (request.object.empty()) {
         penalty += std::uniform_real_distribution<double>(0, maxRandomPenalty)(m_random);
     } else {
-        const std::size_t rank = service.placement.ranksOf(request.object)[upstream.memberIndex];
-        penalty += std::min(static_cast<double>(rank) * rankPenalty, maxRankPenalty);
+        penalty +=
+            std::min(rankOf(upstream, service, request.object) * rankPenalty, maxRankPenalty);
     }
     const double scaleMs =
         service.times
@@ -312,7 +334,8 @@
 bool upstream_choice::isInTime(const choice_option &option, const upstream_choice_request &request)
 {
     // An assumption would reject all requests, and then no measurement could ever correct it.
-    return !option.isMeasured || option.expectedMs <= maxResponseMs(request);
+    return (!option.isMeasured && !request.rejectByAssumption)
+        || option.expectedMs <= maxResponseMs(request);
 }
 
 std::map<region_name, upstream_choice::choice_option>
@@ -352,6 +375,22 @@
         && now >= upstream.capacityLostUntil && now >= upstream.coldUntil;
 }
 
+region_weights upstream_choice::regionCosts(const std::map<region_name, choice_option> &options,
+                                            const service_record &service,
+                                            const upstream_choice_request &request)
+{
+    std::optional<region_name> preferredRegion;
+    if (!request.object.empty() && !request.previousRegion)
+        preferredRegion = service.shares.preferredRegion(request.object);
+    const double scaleMs = timeScaleMs(service, request);
+    region_weights costs;
+    for (const auto &[region, option] : options) {
+        const bool isPreferred = !preferredRegion || region == *preferredRegion;
+        costs.emplace(region, option.cost / scaleMs + (isPreferred ? 0 : otherRegionPenalty));
+    }
+    return costs;
+}
+
 std::optional<chosen_upstream> upstream_choice::choose(const upstream_choice_request &request,
                                                        instant now, choice_failure &reason)
 {
@@ -378,11 +417,9 @@
         });
     std::optional<region_name> taken;
     if (preferred != options.end()) {
-        region_weights costs;
-        for (const auto &[region, option] : options)
-            costs.emplace(region, option.cost);
         taken = hasSingleRegion ? preferred->first
-                                : shares.pickRegion(costs, request.previousRegion.has_value());
+                                : shares.pickRegion(regionCosts(options, service, request),
+                                                    request.previousRegion.has_value());
     }
     if (!taken) {
         reason.shiftCapped = preferred != options.end();
@@ -420,8 +457,9 @@
     if (found == m_upstreams.end())
         return {};
     upstream_record &upstream = found->second;
-    upstream_attempt_record attempt{cacheStateOf(upstream, object), queueRounds(upstream, now),
-                                    route};
+    service_record &service = m_services.at(upstream.incarnation.service);
+    upstream_attempt_record attempt{cacheStateOf(upstream, service, object),
+                                    queueRounds(upstream, now), route};
     ++upstream.inFlight;
     upstream.neverUsed = false;
     if (now < upstream.coldUntil)
