Place objects in each zone or once in a region, by objects, caches and bytes

One in each zone overflows the caches of small zones. Change: route_traffic estimates the objects of a route from repetitions, and the size of its requests; the scope is the zone where its caches hold all objects and the bytes saved outweigh the further uncached responses. The cost of distance follows the size of the route's requests.

--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -4,6 +4,7 @@
 #include "kingcuptiller/fleet/traffic_configuration.h"
 #include "kingcuptiller/relay/object_placement.h"
 #include "kingcuptiller/relay/region_shares.h"
+#include "kingcuptiller/relay/route_traffic.h"
 #include "kingcuptiller/relay/service_times.h"
 #include "kingcuptiller/relay/upstream_signals.h"
 #include "kingcuptiller/values/time.h"
@@ -74,13 +75,11 @@
     zone_name zone;
     // The region of each availability zone.
     std::map<zone_name, region_name> regions;
-    // An upstream in another zone of the entry's region is chosen only if its expected answer is
-    // faster by this share of the service time of an uncached object, because traffic between zones
-    // is billed.
-    double crossZonePenalty = 0.13;
-    // An upstream in another region is chosen only if its expected answer, including the round-trip
-    // time, is faster by this share of the same time. Not added to `crossZonePenalty`.
-    double crossRegionPenalty = 0.07;
+    // The cost of 1 KiB of a request and its response that crosses zones of the entry's region, and
+    // of 1 KiB that crosses regions instead, because such traffic is billed. Relative to the
+    // service time of an uncached object.
+    double crossZoneCostPerKib = 0.06;
+    double crossRegionCostPerKib = 0.03;
     // The assumed round-trip time to another region until a connection to it has been measured.
     milliseconds defaultRoundTripTime{110};
     // Limits how fast requests of the entry's region may move to other regions; see
@@ -186,6 +185,8 @@
     // Records a round-trip time to an availability zone, measured while a connection was
     // established.
     void recordRoundTripTime(const zone_name &zone, microseconds elapsed);
+    // Records the size of a request and its response together, in bytes on the wire.
+    void recordBytes(const service_name &service, const std::string &route, std::size_t bytes);
     // Records that an upstream reported itself as cold (just started, with empty caches) for the
     // next `remaining` milliseconds.
     void reportColdUpstream(const upstream_id &id, milliseconds remaining, instant now);
@@ -266,6 +267,14 @@
         std::size_t memberIndex = 0;
     };
 
+    // What is known of the requests of one route to one service.
+    struct route_record
+    {
+        route_traffic traffic;
+        placement_scope scope = placement_scope::region;
+        instant scopeCheckTime;
+    };
+
     // The state that is kept for each service.
     struct service_record
     {
@@ -279,6 +288,7 @@
         region_shares shares;
         std::map<region_name, average_load> averageLoads;
         service_times times;
+        std::map<std::string, route_record> routes;
         // The configured rate of requests that a cold upstream tolerates, from all entries
         // together; 0 means no limit.
         double coldRequestsPerSecond = 0;
@@ -347,11 +357,18 @@
     // an evacuated zone, from which an operator removes all traffic.
     [[nodiscard]] static bool hasUsableSlots(const upstream_record &upstream, instant now);
     // The rank of the upstream for the request's object, 0 without an object.
-    [[nodiscard]] static object_placement::rank
-    rankOf(const upstream_record &upstream, service_record &service, const std::string &object);
+    [[nodiscard]] static object_placement::rank rankOf(const upstream_record &upstream,
+                                                       service_record &service,
+                                                       const std::string &route,
+                                                       const std::string &object);
     [[nodiscard]] static object_cache_state cacheStateOf(const upstream_record &upstream,
                                                          service_record &service,
+                                                         const std::string &route,
                                                          const std::string &object);
+    // Counts the request in its route's traffic and decides anew, at most once a second, where the
+    // objects of the route are placed.
+    void updatePlacementScope(service_record &service, const upstream_choice_request &request,
+                              instant now) const;
     // The estimated number of requests at an upstream: those of this entry in flight, plus those of
     // other entries. The latter move from the upstream's last report to the average of its service
     // and region as the report ages.
@@ -360,9 +377,11 @@
                                  instant now);
     [[nodiscard]] double roundTripMs(const upstream_record &upstream) const;
     [[nodiscard]] proximity proximityOf(const upstream_record &upstream) const;
-    // The penalty for the distance of an upstream, as a share of the service time of an uncached
-    // object.
-    [[nodiscard]] double distancePenalty(const upstream_record &upstream) const;
+    // The cost of the bytes that a request of the route sends to the upstream and back, relative to
+    // the service time of an uncached object.
+    [[nodiscard]] double distancePenalty(const upstream_record &upstream,
+                                         const service_record &service,
+                                         const std::string &route) const;
     // The expected number of requests that each slot finishes before it can start a new one.
     [[nodiscard]] static double queueRounds(const upstream_record &upstream, instant now);
     // The expected time in the upstream's queue.
@@ -400,8 +419,9 @@
     // Measured round-trip times to other regions.
     std::map<region_name, double> m_roundTripMs;
     std::set<zone_name> m_evacuatedZones;
-    // The number of entries in each region.
+    // The number of entries in each region and in the zone of this entry.
     std::map<region_name, double> m_entriesByRegion;
+    double m_entriesInZone = 1;
     // The number of entries that share the request rate of a cold upstream. It only grows, so that
     // an entry that sees few others does not exceed the rate.
     std::size_t m_entryCount = 1;
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds minimumAttemptTime{5};
 // Retry-After of a refusal after too many attempts or failed connections.
 constexpr milliseconds retryAfterAttemptsExhausted{500};
+// The assumed size of the headers of a request and its response together.
+constexpr std::size_t headerBytes = 700;
 // Failed connection attempts after which a request is not tried on further upstreams.
 constexpr std::uint32_t maximumFailedConnections = 4;
 // The connect timeout is this number of round-trip times plus a reserve for a busy upstream. It
@@ -247,6 +249,9 @@
         .field("outcome", static_cast<int>(outcome));
     switch (outcome) {
     case upstream_attempt_outcome::answered:
+        m_upstreamChoice.recordBytes(progress.service, progress.route.name,
+                                     progress.request.body().size() + result.response.body().size()
+                                         + headerBytes);
         recordRequestEnd(progress, "answered", "");
         co_return makeClientResponse(result.response);
     case upstream_attempt_outcome::failed:
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -1,5 +1,7 @@
 #include "kingcuptiller/relay/upstream_choice.h"
 
+#include "kingcuptiller/telemetry/log.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -57,6 +59,9 @@
 // margin is for an entry that is partitioned from the others and does not know how many share the
 // rate.
 constexpr double coldRateMargin = 0.8;
+// The assumed size of a request and its response until one has been measured.
+constexpr double assumedKibPerRequest = 2;
+constexpr std::chrono::seconds scopeCheckInterval{1};
 
 double toMs(microseconds duration)
 {
@@ -115,8 +120,12 @@
         service.members.clear();
     m_entryCount = std::max<std::size_t>(m_entryCount, view.entries.size());
     m_entriesByRegion.clear();
-    for (const serving_entry &entry : view.entries)
+    m_entriesInZone = 0;
+    for (const serving_entry &entry : view.entries) {
         m_entriesByRegion[entry.region] += 1;
+        m_entriesInZone += entry.zone == m_settings.zone ? 1 : 0;
+    }
+    m_entriesInZone = std::max(m_entriesInZone, 1.0);
     for (const upstream_incarnation &incarnation : view.upstreams) {
         if (incarnation.state != upstream_state::serving)
             continue;
@@ -154,6 +163,8 @@
     for (auto &[name, service] : m_services) {
         service.times.eraseRoutes(
             [&](const std::string &route) { return !routes.contains(route); });
+        std::erase_if(service.routes,
+                      [&](const auto &each) { return !routes.contains(each.first); });
         std::vector<object_placement::member> members;
         for (const upstream_id &id : service.members) {
             const upstream_record &upstream = m_upstreams.at(id);
@@ -164,22 +175,57 @@
 }
 
 object_placement::rank upstream_choice::rankOf(const upstream_record &upstream,
-                                               service_record &service, const std::string &object)
+                                               service_record &service, const std::string &route,
+                                               const std::string &object)
 {
     if (object.empty())
         return 0;
-    return service.placement.ranksOf(object, placement_scope::region)[upstream.memberIndex];
+    const auto known = service.routes.find(route);
+    const placement_scope scope =
+        known == service.routes.end() ? placement_scope::region : known->second.scope;
+    return service.placement.ranksOf(object, scope)[upstream.memberIndex];
 }
 
 object_cache_state upstream_choice::cacheStateOf(const upstream_record &upstream,
-                                                 service_record &service, const std::string &object)
+                                                 service_record &service, const std::string &route,
+                                                 const std::string &object)
 {
     if (object.empty())
         return object_cache_state::no_object;
     if (upstream.objects.positions.contains(object))
         return object_cache_state::cached;
-    return rankOf(upstream, service, object) == 0 ? object_cache_state::preferred
-                                                  : object_cache_state::uncached;
+    return rankOf(upstream, service, route, object) == 0 ? object_cache_state::preferred
+                                                         : object_cache_state::uncached;
+}
+
+void upstream_choice::updatePlacementScope(service_record &service,
+                                           const upstream_choice_request &request,
+                                           instant now) const
+{
+    route_record &route = service.routes[request.route];
+    route.traffic.recordRequest(request.object, now);
+    if (request.object.empty() || now < route.scopeCheckTime)
+        return;
+    route.scopeCheckTime = now + scopeCheckInterval;
+    placement_surroundings surroundings;
+    surroundings.entriesInZone = m_entriesInZone;
+    for (const upstream_id &id : service.members) {
+        const proximity place = proximityOf(m_upstreams.at(id));
+        surroundings.upstreamsInZone += place == proximity::same_zone ? 1 : 0;
+        surroundings.upstreamsInRegion += place == proximity::other_region ? 0 : 1;
+    }
+    surroundings.cachedObjects = static_cast<double>(m_settings.cachedObjectsPerUpstream);
+    surroundings.crossZoneCostPerKib = m_settings.crossZoneCostPerKib;
+    const placement_scope scope =
+        choosePlacementScope(route.traffic, surroundings, route.scope, now);
+    if (scope == route.scope)
+        return;
+    route.scope = scope;
+    log_line(log_level::info, "relay", "placement_changed")
+        .field("route", request.route)
+        .field("scope", scope == placement_scope::zone ? "zone" : "region")
+        .field("objects", std::int64_t(std::llround(route.traffic.objectCount().value_or(0))))
+        .field("kib", route.traffic.kibPerRequest().value_or(0));
 }
 
 double upstream_choice::roundTripMs(const upstream_record &upstream) const
@@ -199,17 +245,20 @@
     return upstream.region == m_settings.region ? proximity::same_region : proximity::other_region;
 }
 
-double upstream_choice::distancePenalty(const upstream_record &upstream) const
+double upstream_choice::distancePenalty(const upstream_record &upstream,
+                                        const service_record &service,
+                                        const std::string &route) const
 {
-    switch (proximityOf(upstream)) {
-    case proximity::same_zone:
+    const proximity place = proximityOf(upstream);
+    if (place == proximity::same_zone)
         return 0;
-    case proximity::same_region:
-        return m_settings.crossZonePenalty;
-    case proximity::other_region:
-        break;
-    }
-    return m_settings.crossRegionPenalty;
+    const auto known = service.routes.find(route);
+    const double kib = known == service.routes.end()
+        ? assumedKibPerRequest
+        : known->second.traffic.kibPerRequest().value_or(assumedKibPerRequest);
+    return kib
+        * (place == proximity::same_region ? m_settings.crossZoneCostPerKib
+                                           : m_settings.crossRegionCostPerKib);
 }
 
 time_estimate upstream_choice::serviceTime(const upstream_record &upstream, service_record &service,
@@ -217,7 +266,8 @@
                                            instant now)
 {
     time_estimate work = service.times.serviceTime(
-        request.route, cacheStateOf(upstream, service, request.object), request.latencyTarget);
+        request.route, cacheStateOf(upstream, service, request.route, request.object),
+        request.latencyTarget);
     work.ms *= now < upstream.coldUntil ? slowness * coldSlowdown : slowness;
     return work;
 }
@@ -270,13 +320,14 @@
     option.queueTimeMs = queueTime.ms;
     option.expectedMs = roundTripMs(upstream) + queueTime.ms + work.ms;
     option.isMeasured = queueTime.isMeasured && work.isMeasured;
-    double penalty = distancePenalty(upstream) + statistics.failureRate * failurePenalty
+    double penalty = distancePenalty(upstream, service, request.route)
+        + statistics.failureRate * failurePenalty
         + (upstream.incarnation.silent ? silencePenalty : 0);
     if (request.object.empty()) {
         penalty += std::uniform_real_distribution<double>(0, maxRandomPenalty)(m_random);
     } else {
-        penalty +=
-            std::min(rankOf(upstream, service, request.object) * rankPenalty, maxRankPenalty);
+        penalty += std::min(rankOf(upstream, service, request.route, request.object) * rankPenalty,
+                            maxRankPenalty);
     }
     const double scaleMs =
         service.times
@@ -400,6 +451,8 @@
         return std::nullopt;
     service_record &service = found->second;
     region_shares &shares = service.shares;
+    if (!request.previousRegion)
+        updatePlacementScope(service, request, now);
     const service_options available = surveyUpstreams(service, request, now);
     if (!shares.hasBegun())
         initializeShares(service, available.slots, now);
@@ -458,7 +511,7 @@
         return {};
     upstream_record &upstream = found->second;
     service_record &service = m_services.at(upstream.incarnation.service);
-    upstream_attempt_record attempt{cacheStateOf(upstream, service, object),
+    upstream_attempt_record attempt{cacheStateOf(upstream, service, route, object),
                                     queueRounds(upstream, now), route};
     ++upstream.inFlight;
     upstream.neverUsed = false;
--- a/src/relay/upstream_observations.cpp
+++ b/src/relay/upstream_observations.cpp
@@ -153,6 +153,14 @@
     recordServiceTime(upstream, attempt, elapsed, now);
 }
 
+void upstream_choice::recordBytes(const service_name &service, const std::string &route,
+                                  std::size_t bytes)
+{
+    const auto found = m_services.find(service);
+    if (found != m_services.end())
+        found->second.routes[route].traffic.recordBytes(bytes);
+}
+
 void upstream_choice::recordRoundTripTime(const zone_name &zone, microseconds elapsed)
 {
     const auto region = m_settings.regions.find(zone);
