Keep records of ended upstreams for a fleet of any size

Cause: 500 records of terminated upstreams were kept. A release of a larger fleet dropped the oldest, and a delayed heartbeat of one of these registered it again: an upstream that had left was in use. Change: at least two records for each upstream that has not ended. Result: fleet_state_test::replacedFleetIsNotRegisteredAgainByDelayedHeartbeats, failed before.

--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -10,9 +10,11 @@
 
 namespace {
 
-// Maximum number of terminated upstreams that are kept. The incarnations that started first are
-// dropped first.
-constexpr std::size_t maximumTerminatedUpstreams = 500;
+// Terminated upstreams that are kept: this many, or as many for each other upstream if that is
+// more, because a release replaces a whole fleet. The incarnations that started first are dropped
+// first.
+constexpr std::size_t minimumKeptTerminated = 500;
+constexpr std::size_t keptTerminatedPerUpstream = 2;
 
 std::string documentDigest(const std::string &document)
 {
@@ -88,7 +90,9 @@
         std::count_if(m_upstreams.begin(), m_upstreams.end(), [](const auto &each) {
             return each.second.state == upstream_state::terminated;
         });
-    if (static_cast<std::size_t>(terminatedCount) <= maximumTerminatedUpstreams)
+    const auto terminated = static_cast<std::size_t>(terminatedCount);
+    if (terminated <= std::max(minimumKeptTerminated,
+                               (m_upstreams.size() - terminated) * keptTerminatedPerUpstream))
         return;
     auto oldest = m_upstreams.end();
     for (auto each = m_upstreams.begin(); each != m_upstreams.end(); ++each) {
--- a/tests/fleet/fleet_state_test.cpp
+++ b/tests/fleet/fleet_state_test.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(resentConfigurationIsAccepted);
     CPPUNIT_TEST(drainingUpstreamDoesNotReturnToServingInSameIncarnation);
     CPPUNIT_TEST(newIncarnationReplacesTerminatedOne);
+    CPPUNIT_TEST(replacedFleetIsNotRegisteredAgainByDelayedHeartbeats);
     CPPUNIT_TEST(snapshotAndCommandsRoundTripThroughJson);
     CPPUNIT_TEST(damagedSnapshotsAreRefused);
     CPPUNIT_TEST(invalidConfigurationsAreRejected);
@@ -121,6 +122,33 @@
         CPPUNIT_ASSERT(state.upstreams().at(upstream_id("u")).state == upstream_state::serving);
     }
 
+    // Guards against upstreams that have ended and are in use again: a release of a large fleet
+    // ends more upstreams within seconds than a fixed number of records holds.
+    void replacedFleetIsNotRegisteredAgainByDelayedHeartbeats()
+    {
+        constexpr std::size_t count = 1'000;
+        fleet_state state;
+        const auto registerAll = [&state](const std::string &prefix, std::uint64_t sequence,
+                                          upstream_state upstreamState) {
+            for (std::size_t i = 0; i < count; ++i)
+                state.apply(registration_command{
+                    {makeIncarnation(prefix + std::to_string(i), 100, sequence, upstreamState)},
+                    {},
+                    {}});
+        };
+        registerAll("old-", 1, upstream_state::serving);
+        registerAll("new-", 1, upstream_state::serving);
+        registerAll("old-", 2, upstream_state::terminated);
+        registerAll("old-", 1, upstream_state::serving);
+        for (const auto &[id, incarnation] : state.upstreams()) {
+            const bool isOld = id.text().starts_with("old-");
+            CPPUNIT_ASSERT_MESSAGE(
+                id.text(),
+                incarnation.state
+                    == (isOld ? upstream_state::terminated : upstream_state::serving));
+        }
+    }
+
     // Guards against fields that are encoded but not decoded.
     void snapshotAndCommandsRoundTripThroughJson()
     {
