Propose a timeout again when the log refused it

Cause: the leader forgot the heartbeat of a silent entry or upstream before the log had taken its command; an overloaded log refused it, and the entry stayed in the directory for good. Change: the heartbeat is forgotten only once the command is proposed. Result: fleet_control_test::rejectedTimeoutIsProposedAgain, failed before.

--- a/include/kingcuptiller/fleet/fleet_control.h
+++ b/include/kingcuptiller/fleet/fleet_control.h
@@ -139,8 +139,9 @@
         std::optional<serving_entry> entry;
     };
 
-    void propose(const fleet_command &command, instant now, const command_result_callback &done);
-    void proposeRegistration(const registration_command &command, instant now);
+    // Return whether the log has taken the command.
+    bool propose(const fleet_command &command, instant now, const command_result_callback &done);
+    bool proposeRegistration(const registration_command &command, instant now);
     // The entry as it will be if all pending commands are committed.
     [[nodiscard]] std::optional<serving_entry> expectedEntry(const endpoint_address &address) const;
     // Whether the heartbeat is not outdated and changes the stored incarnation in more than its
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -35,15 +35,16 @@
         pending.done(result_code::change_outcome_unknown);
 }
 
-void fleet_control::propose(const fleet_command &command, instant now,
+bool fleet_control::propose(const fleet_command &command, instant now,
                             const command_result_callback &done)
 {
     const auto position = m_callbacks.propose(encodeFleetCommand(command));
     if (!position) {
         done(result_code::not_leader);
-        return;
+        return false;
     }
     m_pendingCommands[position->index] = {position->term, now, done};
+    return true;
 }
 
 void fleet_control::submitCommand(const fleet_command &command, instant now,
@@ -174,14 +175,14 @@
     return known == m_state.entries().end() ? std::nullopt : std::optional(known->second);
 }
 
-void fleet_control::proposeRegistration(const registration_command &command, instant now)
+bool fleet_control::proposeRegistration(const registration_command &command, instant now)
 {
     const std::uint64_t number = ++m_lastProposalNumber;
     for (const serving_entry &entry : command.addedEntries)
         m_pendingEntryChanges[entry.address] = {number, entry};
     for (const endpoint_address &address : command.removedEntries)
         m_pendingEntryChanges[address] = {number, std::nullopt};
-    propose(command, now, [this, number](result_code) {
+    return propose(command, now, [this, number](result_code) {
         std::erase_if(m_pendingEntryChanges,
                       [number](const auto &each) { return each.second.proposalNumber == number; });
     });
@@ -229,20 +230,23 @@
         upstream_incarnation incarnation = known->second;
         incarnation.silent = true;
         timeoutCommand.upstreams.push_back(incarnation);
-        log_line(log_level::warning, "fleet", "upstream_silent").field("upstream", id.text());
     }
     for (const auto &[address, lastHeartbeat] : m_entryLastHeartbeat) {
         if (now - lastHeartbeat >= m_options.entryHeartbeatTimeout)
             timeoutCommand.removedEntries.push_back(address);
     }
-    for (const upstream_incarnation &incarnation : timeoutCommand.upstreams)
+    if (timeoutCommand == registration_command{} || !proposeRegistration(timeoutCommand, now))
+        return;
+    // Only now; a refused proposal is made again at the next tick.
+    for (const upstream_incarnation &incarnation : timeoutCommand.upstreams) {
         m_upstreamLastHeartbeat.erase(incarnation.id);
+        log_line(log_level::warning, "fleet", "upstream_silent")
+            .field("upstream", incarnation.id.text());
+    }
     for (const endpoint_address &address : timeoutCommand.removedEntries) {
         m_entryLastHeartbeat.erase(address);
         log_line(log_level::warning, "fleet", "entry_silent").field("entry", address.text());
     }
-    if (timeoutCommand != registration_command{})
-        proposeRegistration(timeoutCommand, now);
 }
 
 void fleet_control::apply(fleet_log_position position, const std::string &text)
--- a/tests/fleet/fleet_control_test.cpp
+++ b/tests/fleet/fleet_control_test.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(entryIsRemovedAfterHeartbeatTimeout);
     CPPUNIT_TEST(entryReturningBeforeItsRemovalIsCommittedIsKept);
     CPPUNIT_TEST(rejectedEntryRegistrationIsProposedAgain);
+    CPPUNIT_TEST(rejectedTimeoutIsProposedAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -228,6 +229,27 @@
         CPPUNIT_ASSERT(leader.control.state().entries().contains(entry.address));
     }
 
+    // Guards against an entry or an upstream that stays in the state for good although it is
+    // silent, because the log was overloaded when its timeout passed.
+    void rejectedTimeoutIsProposedAgain()
+    {
+        leader_harness leader;
+        const serving_entry entry{endpoint_address("10.0.0.9:80"), region_name("r"),
+                                  zone_name("a")};
+        leader.announce(makeIncarnation("u", 100, 1));
+        leader.control.recordEntryHeartbeat(entry, leader.now);
+        leader.commitAll();
+        leader.acceptsProposals = false;
+        leader.now += milliseconds(20'000);
+        leader.control.tick(leader.now);
+        leader.acceptsProposals = true;
+        leader.now += milliseconds(50);
+        leader.control.tick(leader.now);
+        leader.commitAll();
+        CPPUNIT_ASSERT(leader.control.state().entries().empty());
+        CPPUNIT_ASSERT(leader.control.state().upstreams().at(upstream_id("u")).silent);
+    }
+
     // Guards against an entry that is never registered because the log rejected its first
     // registration.
     void rejectedEntryRegistrationIsProposedAgain()
