Use the work time that upstreams report, while it is new

Cause: the fourth figure of a load report, how long work takes on that machine now, was not read. It changes several times a second: a response of a busy machine raised the learnt times, and requests went on to that machine. Change: the figure scales the expected work and queue, and loses its weight within 0.3 s; learnt times are freed from it. A report of two or of five numbers is malformed.

--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -30,6 +30,9 @@
     std::uint32_t waiting = 0;
     // The largest number of requests that the upstream runs concurrently.
     std::uint32_t slots = 0;
+    // How long work takes on the upstream's machine at present, in percent of the usual time. It
+    // changes several times a second, as other work on the machine comes and goes.
+    std::uint32_t workTimePercent = 100;
 
     auto operator<=>(const upstream_load_report &) const = default;
 };
@@ -240,6 +243,8 @@
         double otherRequests = 0;
         // The time of the last load report; unset before the first one.
         std::optional<instant> lastReport;
+        // The work time in that report, relative to the usual one.
+        double reportedWorkTime = 1;
         // The average load of the upstream's service and region; owned by the service's record.
         average_load *averageLoad = nullptr;
         // The statistics at `lastObserved`, the end of the last attempt; `statisticsOf` applies the
@@ -375,6 +380,9 @@
     [[nodiscard]] static double estimatedLoad(const upstream_record &upstream, instant now);
     static void recordLoadReport(upstream_record &upstream, const upstream_load_report &load,
                                  instant now);
+    // The expected work time relative to the usual one: the reported one, which loses its weight
+    // within a fraction of a second.
+    [[nodiscard]] static double relativeWorkTime(const upstream_record &upstream, instant now);
     [[nodiscard]] double roundTripMs(const upstream_record &upstream) const;
     [[nodiscard]] proximity proximityOf(const upstream_record &upstream) const;
     // The cost of the bytes that a request of the route sends to the upstream and back, relative to
--- a/include/kingcuptiller/relay/upstream_connections.h
+++ b/include/kingcuptiller/relay/upstream_connections.h
@@ -34,7 +34,8 @@
     // Present in a response by which the upstream states that it has not run the request.
     std::string notExecuted;
     // Load of the upstream as "running,waiting,slots": the requests that it runs, the requests in
-    // its queue, and the requests that it can run at the same time.
+    // its queue, and the requests that it can run at the same time. A fourth number may follow: how
+    // long work takes on its machine now, in percent of the usual time.
     std::string loadReport;
     // Milliseconds for which the upstream remains cold (just started, with empty caches).
     std::string coldRemaining;
--- a/src/relay/header_text.cpp
+++ b/src/relay/header_text.cpp
@@ -3,10 +3,10 @@
 #include <boost/beast/http/rfc7230.hpp>
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace kingcuptiller::internal {
 
@@ -28,18 +28,23 @@
 
 std::optional<upstream_load_report> parseLoadReport(std::string_view text)
 {
-    std::array<std::int64_t, 3> numbers{};
-    for (std::size_t i = 0; i < numbers.size(); ++i) {
+    constexpr std::size_t requiredNumbers = 3;
+    std::vector<std::uint32_t> numbers;
+    for (bool hasMore = true; hasMore;) {
         const std::size_t commaPosition = std::min(text.find(','), text.size());
         const auto number = parseInteger(text.substr(0, commaPosition));
         if (!number || *number < 0 || *number > 1'000'000)
             return std::nullopt;
-        numbers[i] = *number;
+        numbers.push_back(static_cast<std::uint32_t>(*number));
+        hasMore = commaPosition < text.size();
         text.remove_prefix(std::min(commaPosition + 1, text.size()));
     }
-    return upstream_load_report{static_cast<std::uint32_t>(numbers[0]),
-                                static_cast<std::uint32_t>(numbers[1]),
-                                static_cast<std::uint32_t>(numbers[2])};
+    if (numbers.size() < requiredNumbers || numbers.size() > requiredNumbers + 1)
+        return std::nullopt;
+    upstream_load_report report{numbers[0], numbers[1], numbers[2]};
+    if (numbers.size() > requiredNumbers && numbers.back() > 0)
+        report.workTimePercent = numbers.back();
+    return report;
 }
 
 void eraseConnectionHeaders(http::fields &fields)
--- a/src/relay/header_text.h
+++ b/src/relay/header_text.h
@@ -19,8 +19,8 @@
 // Parses a decimal integer. Returns nullopt for any other text.
 [[nodiscard]] std::optional<std::int64_t> parseInteger(std::string_view text);
 
-// Parses a load report "running,waiting,slots", three integers from 0 to 1,000,000. Returns nullopt
-// for any other text.
+// Parses a load report "running,waiting,slots" or "running,waiting,slots,work time in percent",
+// integers from 0 to 1,000,000. Returns nullopt for any other text.
 [[nodiscard]] std::optional<upstream_load_report> parseLoadReport(std::string_view text);
 
 // Erases the hop-by-hop headers, including those that the `Connection` header names.
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -268,7 +268,8 @@
     time_estimate work = service.times.serviceTime(
         request.route, cacheStateOf(upstream, service, request.route, request.object),
         request.latencyTarget);
-    work.ms *= now < upstream.coldUntil ? slowness * coldSlowdown : slowness;
+    work.ms *=
+        slowness * relativeWorkTime(upstream, now) * (now < upstream.coldUntil ? coldSlowdown : 1);
     return work;
 }
 
--- a/src/relay/upstream_loads.cpp
+++ b/src/relay/upstream_loads.cpp
@@ -14,12 +14,17 @@
 
 // Time constant for the decay of a load report, about the duration of the requests that it counted.
 constexpr double reportDecayMs = 1'000;
+// Time constant for the decay of a reported work time.
+constexpr double workTimeDecayMs = 300;
 // Time constant for the decay of the average load of a region. A region that gets no more requests,
 // and thus sends no reports, is tried again after about this time.
 constexpr double averageLoadDecayMs = 3'000;
 // Weight of the newest report in the average load.
 constexpr double averageLoadWeight = 0.05;
 
+// Reports of a work time further than this from the usual one count as this.
+constexpr double maxWorkTimeRatio = 10;
+
 double ageMs(instant earlier, instant now)
 {
     return std::max(std::chrono::duration<double, std::milli>(now - earlier).count(), 0.0);
@@ -44,6 +49,8 @@
     const double requests = static_cast<double>(load.running) + load.waiting;
     upstream.otherRequests = std::max(requests - upstream.inFlight, 0.0);
     upstream.lastReport = now;
+    upstream.reportedWorkTime =
+        std::clamp(load.workTimePercent / 100.0, 1 / maxWorkTimeRatio, maxWorkTimeRatio);
     upstream.averageLoad->add(requests / std::max<double>(upstream.incarnation.slots, 1), now);
 }
 
@@ -58,6 +65,14 @@
         + (upstream.otherRequests - averageOtherRequests) * weight;
 }
 
+double upstream_choice::relativeWorkTime(const upstream_record &upstream, instant now)
+{
+    if (!upstream.lastReport)
+        return 1;
+    const double weight = std::exp(-ageMs(*upstream.lastReport, now) / workTimeDecayMs);
+    return 1 + (upstream.reportedWorkTime - 1) * weight;
+}
+
 double upstream_choice::queueRounds(const upstream_record &upstream, instant now)
 {
     const double slots = std::max<double>(upstream.incarnation.slots, 1);
@@ -70,7 +85,7 @@
                                                  double slowness, instant now)
 {
     time_estimate result = service.times.slotTime(request.latencyTarget);
-    result.ms *= queueRounds(upstream, now) * slowness;
+    result.ms *= queueRounds(upstream, now) * slowness * relativeWorkTime(upstream, now);
     return result;
 }
 
--- a/src/relay/upstream_observations.cpp
+++ b/src/relay/upstream_observations.cpp
@@ -112,7 +112,9 @@
     // The elapsed time would include queue time if all slots were busy.
     if (estimatedLoad(upstream, now) + 1 > upstream.incarnation.slots || now < upstream.coldUntil)
         return;
-    const double serviceMs = std::max(toMs(elapsed) - roundTripMs(upstream), 1.0);
+    // What the upstream's machine did to this response says nothing about the next one.
+    const double serviceMs =
+        std::max(toMs(elapsed) - roundTripMs(upstream), 1.0) / relativeWorkTime(upstream, now);
     const time_estimate expected =
         service.times.serviceTime(attempt.route, attempt.cacheState, milliseconds(0));
     double &slowness = upstream.statistics.slowness;
--- a/tests/relay/service_times_test.cpp
+++ b/tests/relay/service_times_test.cpp
@@ -1,9 +1,12 @@
 #include "kingcuptiller/relay/service_times.h"
 #include "kingcuptiller/relay/upstream_choice.h"
 
+#include "../../src/relay/header_text.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -82,6 +85,8 @@
     CPPUNIT_TEST(requestsAreTriedWhileNothingIsMeasured);
     CPPUNIT_TEST(requestsAreRejectedByMeasurement);
     CPPUNIT_TEST(objectsStayAtTheirUpstreamWhateverTheTimeScale);
+    CPPUNIT_TEST(reportedWorkTimeCountsWhileItIsNew);
+    CPPUNIT_TEST(loadReportsOfThreeOrFourNumbersAreRead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -175,6 +180,63 @@
                                    home->incarnation.id == next->incarnation.id);
         }
     }
+
+    // Guards against sending requests without an object to an upstream whose machine is busy with
+    // other work, against avoiding it when the report is old, and against learning times from it.
+    void reportedWorkTimeCountsWhileItIsNew()
+    {
+        idle_service service(milliseconds(0));
+        const milliseconds target(300);
+        const milliseconds timeLimit(1'200);
+        for (int i = 0; i < 30; ++i)
+            service.serve("", target, timeLimit, milliseconds(101));
+        service.now += std::chrono::seconds(30);
+        const upstream_id busy("u0");
+        const auto report = [&](std::uint32_t percent, milliseconds elapsed) {
+            const upstream_attempt_record attempt =
+                service.choices.attemptStarted(busy, "", service.now, route);
+            service.now += elapsed;
+            service.choices.attemptFinished(busy, attempt, upstream_attempt_outcome::answered,
+                                            elapsed, upstream_load_report{1, 0, 3, percent},
+                                            service.now);
+        };
+        const auto timesChosen = [&] {
+            int count = 0;
+            for (int i = 0; i < 60; ++i) {
+                const auto chosen = service.choose("", target, timeLimit);
+                count += chosen && chosen->incarnation.id == busy ? 1 : 0;
+            }
+            return count;
+        };
+        report(500, milliseconds(501));
+        CPPUNIT_ASSERT_EQUAL(0, timesChosen());
+        service.now += std::chrono::seconds(2);
+        CPPUNIT_ASSERT(timesChosen() > 0);
+    }
+
+    void loadReportsOfThreeOrFourNumbersAreRead()
+    {
+        struct row
+        {
+            std::string text;
+            std::optional<upstream_load_report> expected;
+        };
+        const std::vector<row> rows = {
+            {"3,0,8", upstream_load_report{3, 0, 8, 100}},
+            {"3,0,8,250", upstream_load_report{3, 0, 8, 250}},
+            {"3,0,8,0", upstream_load_report{3, 0, 8, 100}},
+            {"3,0,8,", std::nullopt},
+            {"3,0,8,x", std::nullopt},
+            {"3,0,8,-5", std::nullopt},
+            {"3,0,8,99999999999999999999", std::nullopt},
+            {"3,0", std::nullopt},
+            {"3,0,8,100,1", std::nullopt},
+            {"", std::nullopt},
+        };
+        for (const row &each : rows)
+            CPPUNIT_ASSERT_MESSAGE(each.text,
+                                   internal::parseLoadReport(each.text) == each.expected);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(service_times_test);
