--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -1,6 +1,6 @@
 #include "kingcuptiller/relay/upstream_choice.h"
 
-#include "kingcuptiller/telemetry/log.h"
+#include "durations.h"
 
 #include <xxhash.h>
 
@@ -14,6 +14,8 @@
 
 namespace {
 
+using internal::toMs;
+
 // An upstream with this many waiting requests per slot counts as full. Upstreams reject requests
 // themselves when their queue is full. A lower limit leaves slots idle, because entries know little
 // of each other's load.
@@ -43,9 +45,6 @@
 // object evicts another, whose next request then takes three times as long.
 constexpr double rankPenalty = 4;
 constexpr double maxRankPenalty = 12;
-// The cost of a region other than the one that an object prefers. Where a region sends most of its
-// requests elsewhere, each object would otherwise be cached in all regions.
-constexpr double otherRegionPenalty = 0.4;
 // A random cost up to this limit is added for requests without an object. Otherwise all entries
 // with the same load information would choose the same upstream.
 constexpr double maxRandomPenalty = 0.11;
@@ -59,14 +58,6 @@
 // margin is for an entry that is partitioned from the others and does not know how many share the
 // rate.
 constexpr double coldRateMargin = 0.8;
-// The assumed size of a request and its response until one has been measured.
-constexpr double assumedKibPerRequest = 2;
-constexpr std::chrono::seconds scopeCheckInterval{1};
-
-double toMs(microseconds duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
 
 // The initial fill of this entry's token bucket for a cold upstream, from 0 to 1. The hash differs
 // between entries and spreads their first requests over the time in which one token is refilled.
@@ -174,60 +165,6 @@
     }
 }
 
-object_placement::rank upstream_choice::rankOf(const upstream_record &upstream,
-                                               service_record &service, const std::string &route,
-                                               const std::string &object)
-{
-    if (object.empty())
-        return 0;
-    const auto known = service.routes.find(route);
-    const placement_scope scope =
-        known == service.routes.end() ? placement_scope::region : known->second.scope;
-    return service.placement.ranksOf(object, scope)[upstream.memberIndex];
-}
-
-object_cache_state upstream_choice::cacheStateOf(const upstream_record &upstream,
-                                                 service_record &service, const std::string &route,
-                                                 const std::string &object)
-{
-    if (object.empty())
-        return object_cache_state::no_object;
-    if (upstream.objects.positions.contains(object))
-        return object_cache_state::cached;
-    return rankOf(upstream, service, route, object) == 0 ? object_cache_state::preferred
-                                                         : object_cache_state::uncached;
-}
-
-void upstream_choice::updatePlacementScope(service_record &service,
-                                           const upstream_choice_request &request,
-                                           instant now) const
-{
-    route_record &route = service.routes[request.route];
-    route.traffic.recordRequest(request.object, now);
-    if (request.object.empty() || now < route.scopeCheckTime)
-        return;
-    route.scopeCheckTime = now + scopeCheckInterval;
-    placement_surroundings surroundings;
-    surroundings.entriesInZone = m_entriesInZone;
-    for (const upstream_id &id : service.members) {
-        const proximity place = proximityOf(m_upstreams.at(id));
-        surroundings.upstreamsInZone += place == proximity::same_zone ? 1 : 0;
-        surroundings.upstreamsInRegion += place == proximity::other_region ? 0 : 1;
-    }
-    surroundings.cachedObjects = static_cast<double>(m_settings.cachedObjectsPerUpstream);
-    surroundings.crossZoneCostPerKib = m_settings.crossZoneCostPerKib;
-    const placement_scope scope =
-        choosePlacementScope(route.traffic, surroundings, route.scope, now);
-    if (scope == route.scope)
-        return;
-    route.scope = scope;
-    log_line(log_level::info, "relay", "placement_changed")
-        .field("route", request.route)
-        .field("scope", scope == placement_scope::zone ? "zone" : "region")
-        .field("objects", std::int64_t(std::llround(route.traffic.objectCount().value_or(0))))
-        .field("kib", route.traffic.kibPerRequest().value_or(0));
-}
-
 double upstream_choice::roundTripMs(const upstream_record &upstream) const
 {
     if (upstream.region == m_settings.region)
@@ -238,29 +175,6 @@
         : measured->second;
 }
 
-proximity upstream_choice::proximityOf(const upstream_record &upstream) const
-{
-    if (upstream.incarnation.zone == m_settings.zone)
-        return proximity::same_zone;
-    return upstream.region == m_settings.region ? proximity::same_region : proximity::other_region;
-}
-
-double upstream_choice::distancePenalty(const upstream_record &upstream,
-                                        const service_record &service,
-                                        const std::string &route) const
-{
-    const proximity place = proximityOf(upstream);
-    if (place == proximity::same_zone)
-        return 0;
-    const auto known = service.routes.find(route);
-    const double kib = known == service.routes.end()
-        ? assumedKibPerRequest
-        : known->second.traffic.kibPerRequest().value_or(assumedKibPerRequest);
-    return kib
-        * (place == proximity::same_region ? m_settings.crossZoneCostPerKib
-                                           : m_settings.crossRegionCostPerKib);
-}
-
 time_estimate upstream_choice::serviceTime(const upstream_record &upstream, service_record &service,
                                            const upstream_choice_request &request, double slowness,
                                            instant now)
@@ -427,22 +341,6 @@
         && now >= upstream.capacityLostUntil && now >= upstream.coldUntil;
 }
 
-region_weights upstream_choice::regionCosts(const std::map<region_name, choice_option> &options,
-                                            const service_record &service,
-                                            const upstream_choice_request &request)
-{
-    std::optional<region_name> preferredRegion;
-    if (!request.object.empty() && !request.previousRegion)
-        preferredRegion = service.shares.preferredRegion(request.object);
-    const double scaleMs = timeScaleMs(service, request);
-    region_weights costs;
-    for (const auto &[region, option] : options) {
-        const bool isPreferred = !preferredRegion || region == *preferredRegion;
-        costs.emplace(region, option.cost / scaleMs + (isPreferred ? 0 : otherRegionPenalty));
-    }
-    return costs;
-}
-
 std::optional<chosen_upstream> upstream_choice::choose(const upstream_choice_request &request,
                                                        instant now, choice_failure &reason)
 {
--- a/src/relay/upstream_loads.cpp
+++ b/src/relay/upstream_loads.cpp
@@ -1,7 +1,8 @@
 #include "kingcuptiller/relay/upstream_choice.h"
 
+#include "durations.h"
+
 #include <algorithm>
-#include <chrono>
 #include <cmath>
 
 // Load estimates of `upstream_choice`. Upstreams report their load with each answer. With many
@@ -27,7 +28,7 @@
 
 double ageMs(instant earlier, instant now)
 {
-    return std::max(std::chrono::duration<double, std::milli>(now - earlier).count(), 0.0);
+    return std::max(internal::toMs(now - earlier), 0.0);
 }
 
 } // namespace
--- a/src/relay/upstream_observations.cpp
+++ b/src/relay/upstream_observations.cpp
@@ -1,5 +1,6 @@
 #include "kingcuptiller/relay/upstream_choice.h"
 
+#include "durations.h"
 #include "kingcuptiller/telemetry/log.h"
 
 #include <algorithm>
@@ -12,6 +13,8 @@
 
 namespace {
 
+using internal::toMs;
+
 // Weights of the newest observation in the moving averages.
 constexpr double slownessWeight = 0.15;
 constexpr double failureWeight = 0.1;
@@ -28,11 +31,6 @@
 // The statistics of an upstream lose half of their weight after this time without an observation.
 constexpr milliseconds observationHalfLife{4'000};
 
-double toMs(microseconds duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 } // namespace
 
 void upstream_choice::rememberObject(upstream_record &upstream, const std::string &object) const
