--- a/include/kingcuptiller/fleet/fleet_state.h
+++ b/include/kingcuptiller/fleet/fleet_state.h
@@ -24,8 +24,8 @@
     serving,
     // Completes its current requests and accepts no new ones.
     draining,
-    // Has ended. 500 such records are kept, or two for each other upstream if that is more, so that a
-    // delayed heartbeat of an ended incarnation does not register the upstream again.
+    // Has ended. 500 such records are kept, or two for each other upstream if that is more, so that
+    // a delayed heartbeat of an ended incarnation does not register the upstream again.
     terminated,
 };
 
