Read the signals of upstreams without HTTP types

The choice of upstreams included the types of connections through upstream_signals.h; the decisions include no socket, and the linter could not read the coroutines there (seen by scripts/lint).

--- a/include/kingcuptiller/relay/upstream_signals.h
+++ b/include/kingcuptiller/relay/upstream_signals.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "kingcuptiller/relay/http_types.h"
-#include "kingcuptiller/relay/upstream_connections.h"
 #include "kingcuptiller/values/time.h"
 
 #include <compare>
@@ -26,9 +24,10 @@
 // Returns nullopt for any other text, for zero and for negative numbers.
 [[nodiscard]] std::optional<milliseconds> parseRetryAfter(std::string_view text);
 
-// Reads the signals of a response. Retry-After counts only with the status 503.
-[[nodiscard]] upstream_signals readUpstreamSignals(const relay_response &response,
-                                                   const relay_headers &headers);
+// Reads the signals of a response from its status and the values of its leaving and Retry-After
+// headers; a missing header is empty. Retry-After counts only with the status 503.
+[[nodiscard]] upstream_signals readUpstreamSignals(unsigned status, std::string_view leaving,
+                                                   std::string_view retryAfter);
 
 // Whether requests may be sent to one incarnation of an upstream, by the signals that it has sent
 // to this entry. A new incarnation starts without any.
--- a/src/relay/request_outcomes.cpp
+++ b/src/relay/request_outcomes.cpp
@@ -81,8 +81,10 @@
             cold && *cold > 0)
             m_upstreamChoice.reportColdUpstream(upstream.incarnation.id,
                                                 std::min(milliseconds(*cold), maxColdTime), now);
-        m_upstreamChoice.applySignals(upstream.incarnation.id,
-                                      readUpstreamSignals(response, m_options.headers), now);
+        const upstream_signals signals = readUpstreamSignals(
+            response.result_int(), toStringView(response[m_options.headers.leaving]),
+            toStringView(response[m_options.headers.retryAfter]));
+        m_upstreamChoice.applySignals(upstream.incarnation.id, signals, now);
     }
     m_upstreamChoice.attemptFinished(upstream.incarnation.id, attempt, outcome, now - sentAt, load,
                                      now);
--- a/src/relay/upstream_signals.cpp
+++ b/src/relay/upstream_signals.cpp
@@ -1,7 +1,5 @@
 #include "kingcuptiller/relay/upstream_signals.h"
 
-#include "header_text.h"
-
 #include <algorithm>
 #include <charconv>
 #include <chrono>
@@ -9,11 +7,10 @@
 
 namespace kingcuptiller {
 
-namespace http = boost::beast::http;
-
 namespace {
 
 constexpr std::chrono::minutes maxBackoff{10};
+constexpr unsigned serviceUnavailable = 503;
 
 } // namespace
 
@@ -30,12 +27,13 @@
     return milliseconds(std::llround(std::min(seconds, maxSeconds) * 1'000));
 }
 
-upstream_signals readUpstreamSignals(const relay_response &response, const relay_headers &headers)
+upstream_signals readUpstreamSignals(unsigned status, std::string_view leaving,
+                                     std::string_view retryAfter)
 {
     upstream_signals signals;
-    signals.leaving = internal::toStringView(response[headers.leaving]) == "1";
-    if (response.result() == http::status::service_unavailable)
-        signals.backoff = parseRetryAfter(internal::toStringView(response[headers.retryAfter]));
+    signals.leaving = leaving == "1";
+    if (status == serviceUnavailable)
+        signals.backoff = parseRetryAfter(retryAfter);
     return signals;
 }
 
--- a/tests/relay/upstream_signals_test.cpp
+++ b/tests/relay/upstream_signals_test.cpp
@@ -1,3 +1,4 @@
+#include "kingcuptiller/relay/request_relay.h"
 #include "kingcuptiller/relay/upstream_signals.h"
 #include "relay_fixture.h"
 
@@ -84,19 +85,10 @@
             {503, "1", "0.5", {true, milliseconds(500)}},
             {429, "", "2", {false, std::nullopt}},
         };
-        relay_headers headers;
-        headers.leaving = "X-Leaving";
-        headers.retryAfter = "Retry-After";
-        for (const row &each : rows) {
-            relay_response response;
-            response.result(each.status);
-            if (!each.leaving.empty())
-                response.set(headers.leaving, each.leaving);
-            if (!each.retryAfter.empty())
-                response.set(headers.retryAfter, each.retryAfter);
+        for (const row &each : rows)
             CPPUNIT_ASSERT_MESSAGE(std::to_string(each.status) + each.leaving + each.retryAfter,
-                                   readUpstreamSignals(response, headers) == each.expected);
-        }
+                                   readUpstreamSignals(each.status, each.leaving, each.retryAfter)
+                                       == each.expected);
     }
 
     // Guards against a late response without signals, or with a shorter backoff, that takes back
