--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -244,10 +244,7 @@
         penalty += std::min(rankOf(upstream, service, request.route, request.object) * rankPenalty,
                             maxRankPenalty);
     }
-    const double scaleMs =
-        service.times
-            .serviceTime(request.route, object_cache_state::uncached, request.latencyTarget)
-            .ms;
+    const double scaleMs = timeScaleMs(service, request);
     option.cost = option.expectedMs + penalty * scaleMs;
     option.costInRegion = option.cost;
     if (upstream.neverUsed && upstream.region == m_settings.region && isInTime(option, request))
