Take back the region that an object prefers

Change: the preference is removed; objects still prefer one upstream within each region. The shares keep their slower pace.

--- a/include/kingcuptiller/relay/region_shares.h
+++ b/include/kingcuptiller/relay/region_shares.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <optional>
 #include <random>
-#include <string>
 #include <vector>
 
 namespace kingcuptiller {
@@ -100,11 +99,6 @@
     // How much of the tolerance beyond its share a region has used: 0 for none, 1 for all of it.
     [[nodiscard]] double overuse(const region_name &region) const;
 
-    // Returns the region that requests for an object prefer, so that the object is cached in few
-    // regions. The share of the objects that prefer a region is its share of the requests. It
-    // depends on the name of the object and the shares only, and when shares move, few objects do.
-    [[nodiscard]] std::optional<region_name> preferredRegion(const std::string &object) const;
-
     // Records a request that is sent to `taken` and whose lowest cost was in `preferredRegion`.
     void recordDecision(const region_name &preferredRegion, const region_name &taken);
     // Records a request that no region may take. It increases no deficit; otherwise the share of
--- a/src/relay/region_shares.cpp
+++ b/src/relay/region_shares.cpp
@@ -1,11 +1,8 @@
 #include "kingcuptiller/relay/region_shares.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <chrono>
 #include <cmath>
-#include <cstdint>
 #include <iterator>
 #include <limits>
 #include <utility>
@@ -35,8 +32,6 @@
 // A full region may get free capacity only after traffic has dropped. Making up for a larger
 // deficit would then take most of the few requests.
 constexpr double maxDeficitShare = 0.2;
-// The number of values of a hash of 53 bits, which a double holds exactly.
-constexpr double hashValues = 9'007'199'254'740'992;
 
 } // namespace
 
@@ -160,27 +155,6 @@
     return tolerance() < 1;
 }
 
-std::optional<region_name> region_shares::preferredRegion(const std::string &object) const
-{
-    // Weighted rendezvous hashing.
-    std::optional<region_name> preferred;
-    double leastScore = std::numeric_limits<double>::max();
-    const std::uint64_t seed = XXH3_64bits(object.data(), object.size());
-    for (const auto &[name, region] : m_regions) {
-        if (region.share <= 0)
-            continue;
-        const std::uint64_t hash =
-            XXH3_64bits_withSeed(name.text().data(), name.text().size(), seed);
-        const double uniform = (static_cast<double>(hash >> 11U) + 0.5) / hashValues;
-        const double score = -std::log(uniform) / region.share;
-        if (score < leastScore) {
-            preferred = name;
-            leastScore = score;
-        }
-    }
-    return preferred;
-}
-
 region_name region_shares::drawRegion(std::vector<region_name> regions)
 {
     if (regions.empty()) {
--- a/src/relay/upstream_placement.cpp
+++ b/src/relay/upstream_placement.cpp
@@ -4,7 +4,6 @@
 
 #include <chrono>
 #include <cmath>
-#include <optional>
 #include <string>
 
 // Where `upstream_choice` expects and places the objects of requests, and what distance costs.
@@ -13,10 +12,6 @@
 
 namespace {
 
-// The cost of a region other than the one that an object prefers. Where a region sends most of its
-// requests elsewhere, each object would otherwise be cached in all regions.
-constexpr double otherRegionPenalty = 0.4;
-
 // The assumed size of a request and its response until one has been measured.
 constexpr double assumedKibPerRequest = 2;
 constexpr std::chrono::seconds scopeCheckInterval{1};
@@ -104,15 +99,10 @@
                                             const service_record &service,
                                             const upstream_choice_request &request)
 {
-    std::optional<region_name> preferredRegion;
-    if (!request.object.empty() && !request.previousRegion)
-        preferredRegion = service.shares.preferredRegion(request.object);
     const double scaleMs = timeScaleMs(service, request);
     region_weights costs;
-    for (const auto &[region, option] : options) {
-        const bool isPreferred = !preferredRegion || region == *preferredRegion;
-        costs.emplace(region, option.cost / scaleMs + (isPreferred ? 0 : otherRegionPenalty));
-    }
+    for (const auto &[region, option] : options)
+        costs.emplace(region, option.cost / scaleMs);
     return costs;
 }
 
