--- a/include/kingcuptiller/node/control_node.h
+++ b/include/kingcuptiller/node/control_node.h
@@ -44,7 +44,7 @@
     // Views are sent to entries at most this often.
     milliseconds viewInterval{80};
     milliseconds tickInterval{50};
-    // How often a host names the upstreams that it has heard from to the leader.
+    // How often a host reports to the leader whose heartbeats it has answered.
     milliseconds heartbeatReportInterval{500};
     std::function<instant()> now;
     std::function<std::uint64_t()> random;
@@ -56,8 +56,8 @@
 //
 // When the disk refuses a write, for example because it is full, what the files hold is unknown.
 // The host then closes its replica, as if the process had ended, and opens it again from the files
-// until that succeeds. Meanwhile it answers calls with `not_leader` and tells entries that it is
-// not current.
+// until that succeeds. Meanwhile it answers calls with `not_leader` and reports to entries that
+// it is not current.
 class control_node
 {
 public:
--- a/include/kingcuptiller/relay/service_times.h
+++ b/include/kingcuptiller/relay/service_times.h
@@ -17,7 +17,7 @@
 enum class object_cache_state : std::uint8_t {
     // The request refers to no object.
     no_object,
-    // This entry has sent a request for the object to the upstream lately.
+    // This entry has recently sent a request for the object to the upstream.
     cached,
     // The upstream is the preferred one for the object, so other entries may have sent it requests
     // for the object.
