--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -68,13 +68,5 @@
 
 int main()
 {
-    ::signal(SIGPIPE, SIG_IGN);
-    try {
-        const int result = play();
-        record("result " + std::to_string(result), true);
-        return result;
-    } catch (const std::exception &failure) {
-        record(failure.what(), true);
-        return couldNotRun;
-    }
+    return review::runScript(play);
 }
--- a/review/harness.h
+++ b/review/harness.h
@@ -837,4 +837,18 @@
     return -1;
 }
 
+// Runs a script to its end and returns its exit code.
+inline int runScript(const std::function<int()> &play)
+{
+    ::signal(SIGPIPE, SIG_IGN);
+    try {
+        const int result = play();
+        record("result " + std::to_string(result), true);
+        return result;
+    } catch (const std::exception &failure) {
+        record(failure.what(), true);
+        return couldNotRun;
+    }
+}
+
 } // namespace review
