--- a/review/harness.h
+++ b/review/harness.h
@@ -590,12 +590,12 @@
 // The body of a heartbeat.
 inline std::string heartbeatBody(const std::string &where, const std::string &service,
                                  const std::string &zoneName, const std::string &state,
-                                 std::int64_t born, std::uint64_t sequence)
+                                 std::int64_t born, std::uint64_t sequence, int coldMs = 0)
 {
     return R"({"address":")" + where + R"(","born":)" + std::to_string(born)
         + R"(,"info":{"service":")" + service + R"(","version":"v1","zone":")" + zoneName
         + R"(","slots":8},"status":{"state":")" + state + R"(","sequence":)"
-        + std::to_string(sequence) + R"(,"coldRemainingMs":0}})";
+        + std::to_string(sequence) + R"(,"coldRemainingMs":)" + std::to_string(coldMs) + "}}";
 }
 
 // A backend: it announces itself every 1.5 s, runs the requests that name its id, and counts them.
@@ -608,7 +608,7 @@
         std::string request;
     };
 
-    backend(deployment &fleet, std::size_t number, std::string id, int workMs)
+    backend(deployment &fleet, std::size_t number, std::string id, int workMs, double coldS = 0)
         : m_fleet(fleet)
         , m_where(fleet.backend(number))
         , m_zone(zones()[number % zones().size()].name)
@@ -616,6 +616,7 @@
         , m_workMs(workMs)
         , m_next(number)
         , m_born(unixMs())
+        , m_coldUntil(seconds() + coldS)
         , m_listener(listenOn(m_where))
     {
         if (m_listener < 0)
@@ -642,13 +643,19 @@
     {
         const std::lock_guard guard(m_beating);
         const std::string state = m_draining ? "draining" : "ready";
+        const int coldMs = std::max(static_cast<int>((m_coldUntil - seconds()) * 1'000), 0);
         ++m_sequence;
         for (std::size_t i = 0; i < m_fleet.controls().size() && !m_ended; ++i, ++m_next) {
-            const reply answer = call(
-                m_fleet.control(m_next), "PUT", "/v1/instances/" + m_id,
-                {{"Content-Type", "application/json"}},
-                heartbeatBody(m_where.text(), "svc-review", m_zone, state, m_born, m_sequence), 1);
+            const reply answer = call(m_fleet.control(m_next), "PUT", "/v1/instances/" + m_id,
+                                      {{"Content-Type", "application/json"}},
+                                      heartbeatBody(m_where.text(), "svc-review", m_zone, state,
+                                                    m_born, m_sequence, coldMs),
+                                      1);
             if (answer.status >= 200 && answer.status < 300) {
+                if (coldMs > 0)
+                    record(m_id + " is cold for " + std::to_string(coldMs) + " ms: acknowledged by "
+                               + m_fleet.control(m_next).text(),
+                           true);
                 if (m_draining)
                     record(m_id + " is draining: acknowledged by " + m_fleet.control(m_next).text(),
                            true);
@@ -659,6 +666,7 @@
     }
 
     void setDraining() { m_draining = true; }
+    void setColdUntil(double end) { m_coldUntil = end; }
     // Sends no more heartbeats, and goes on serving.
     void stopBeating() { m_silent = true; }
     [[nodiscard]] const std::string &id() const { return m_id; }
@@ -747,6 +755,7 @@
     std::size_t m_next;
     std::int64_t m_born;
     std::uint64_t m_sequence = 0;
+    std::atomic<double> m_coldUntil;
     int m_listener;
     std::mutex m_beating;
     std::mutex m_counting;
@@ -766,10 +775,17 @@
         : m_fleet(fleet)
         , m_method(std::move(method))
     {
-        for (std::size_t i = 0; i < m_fleet.entries().size(); ++i)
-            m_threads.emplace_back([this, i, perSecond] {
-                run(i, static_cast<double>(m_fleet.entries().size()) / perSecond);
-            });
+        // Each thread waits for its answers, so it sends only a few requests a second.
+        const double entries = static_cast<double>(m_fleet.entries().size());
+        const auto threads = static_cast<std::size_t>(perSecond / entries / threadRate) + 1;
+        for (std::size_t i = 0; i < m_fleet.entries().size(); ++i) {
+            for (std::size_t thread = 0; thread < threads; ++thread)
+                m_threads.emplace_back([this, i, thread, threads, entries, perSecond] {
+                    const double interval = entries * static_cast<double>(threads) / perSecond;
+                    pause(interval * static_cast<double>(thread) / static_cast<double>(threads));
+                    run(i, interval);
+                });
+        }
     }
     ~clients()
     {
@@ -787,6 +803,8 @@
     }
 
 private:
+    static constexpr double threadRate = 5;
+
     void run(std::size_t entry, double interval)
     {
         while (!m_ended) {
