--- a/review/harness.h
+++ b/review/harness.h
@@ -686,10 +686,13 @@
     }
 
 private:
+    // Three times the rate that the manifest says a cold backend tolerates, and one.
+    static constexpr std::size_t coldCrashPerSecond = 25;
+
     void beat()
     {
         while (!m_ended) {
-            if (!m_silent)
+            if (!m_silent && !m_crashed)
                 announce();
             for (int i = 0; i < 15 && !m_ended; ++i)
                 pause(0.1);
@@ -711,12 +714,24 @@
         }
     }
 
+    // While cold, a backend crashes at a rate well above the one that it tolerates.
+    void crashWhenOverloaded()
+    {
+        if (seconds() >= m_coldUntil || m_crashed
+            || runsBetween(seconds() - 1, seconds()) <= coldCrashPerSecond)
+            return;
+        m_crashed = true;
+        record(m_id + " crashes: more than " + std::to_string(coldCrashPerSecond)
+                   + " requests in one second while it is cold",
+               true);
+    }
+
     void serve(int socket)
     {
         const int on = 1;
         ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         std::string rest;
-        while (!m_ended) {
+        while (!m_ended && !m_crashed) {
             if (rest.empty() && !waitFor(socket, POLLIN, seconds() + 0.2))
                 continue;
             message request;
@@ -735,7 +750,10 @@
                     m_runs.push_back({seconds(), attempt});
                 }
                 record(m_id + " runs " + attempt);
+                crashWhenOverloaded();
                 pause(m_workMs / 1'000.0);
+                if (m_crashed)
+                    return;
                 head += "Kingcuptiller-Response-Seal: " + attempt + "." + m_id + "\r\n";
             }
             head += "Kingcuptiller-Attempt-Id: " + attempt + "\r\n"
@@ -762,6 +780,7 @@
     std::vector<run> m_runs;
     std::atomic<bool> m_draining = false;
     std::atomic<bool> m_silent = false;
+    std::atomic<bool> m_crashed = false;
     std::atomic<bool> m_ended = false;
     std::atomic<int> m_open = 0;
     std::vector<std::thread> m_threads;
