--- a/review/harness.h
+++ b/review/harness.h
@@ -571,8 +571,16 @@
     std::vector<machine> m_entries;
 };
 
-// A manifest with one route to one service.
-inline std::string manifest(const std::string &kind, int timeoutMs)
+inline std::string serviceResource(const std::string &name)
+{
+    return R"({"resourceKind":"services","metadata":{"name":")" + name
+        + R"("},"spec":{"healthPath":"/health","maxConnections":390,"protocol":"h1","tls":false,)"
+          R"("coldStartS":3.0,"coldPerS":8.0}},)";
+}
+
+// A manifest with one route to one service, and perhaps a further service without a route.
+inline std::string manifest(const std::string &kind, int timeoutMs,
+                            const std::string &furtherService = "")
 {
     return R"({"version":"r1","baseVersion":"r0","resources":[)"
            R"({"resourceKind":"routes","metadata":{"name":"r-review"},"spec":{)"
@@ -580,10 +588,9 @@
         + kind + R"(","timeoutMs":)" + std::to_string(timeoutMs)
         + R"(,"targetLatencyMs":600,"priority":1,"service":"svc-review","maxAttempts":2,)"
           R"("sessionAffinity":false,"allowedRegions":[]}},)"
-          R"({"resourceKind":"services","metadata":{"name":"svc-review"},"spec":{)"
-          R"("healthPath":"/health","maxConnections":390,"protocol":"h1","tls":false,)"
-          R"("coldStartS":3.0,"coldPerS":8.0}},)"
-          R"({"resourceKind":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,)"
+        + serviceResource("svc-review")
+        + (furtherService.empty() ? std::string() : serviceResource(furtherService))
+        + R"({"resourceKind":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,)"
           R"("maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}]})";
 }
 
@@ -667,6 +674,12 @@
 
     void setDraining() { m_draining = true; }
     void setColdUntil(double end) { m_coldUntil = end; }
+    // The body of the next heartbeat, which the caller sends itself.
+    std::string nextHeartbeat()
+    {
+        const std::lock_guard guard(m_beating);
+        return heartbeatBody(m_where.text(), "svc-review", m_zone, "ready", m_born, ++m_sequence);
+    }
     // Sends no more heartbeats, and goes on serving.
     void stopBeating() { m_silent = true; }
     [[nodiscard]] const std::string &id() const { return m_id; }
