--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -7,19 +7,19 @@
 using namespace review;
 
 constexpr double drainS = 2.5;
-constexpr double observeS = 10;
+constexpr double observeS = 5;
 
 int play()
 {
     deployment fleet(5, 3);
     fleet.start();
-    if (!fleet.configure(manifest("safe", 4'000), 20))
+    if (!fleet.configure(manifest("unsafe", 4'000), 20))
         return couldNotRun;
     std::vector<std::unique_ptr<backend>> backends;
     for (std::size_t i = 0; i < zones().size(); ++i)
-        backends.push_back(std::make_unique<backend>(fleet, i, "i-" + std::to_string(i + 1), 60));
+        backends.push_back(std::make_unique<backend>(fleet, i, "i-" + std::to_string(i + 1), 400));
     pause(3);
-    clients load(fleet, "GET", 30);
+    clients load(fleet, "POST", 60);
     pause(3);
     backend &leaving = *backends.front();
     if (withTrouble()) {
@@ -40,6 +40,8 @@
     record("requests that reached " + leaving.id() + " between " + std::to_string(from) + " s and "
                + std::to_string(from + observeS) + " s: " + std::to_string(late),
            true);
+    leaving.exit();
+    pause(1);
     for (const auto &[status, count] : load.statuses())
         record("answers with status " + std::to_string(status) + ": " + std::to_string(count),
                true);
--- a/review/harness.h
+++ b/review/harness.h
@@ -680,6 +680,13 @@
         const std::lock_guard guard(m_beating);
         return heartbeatBody(m_where.text(), "svc-review", m_zone, "ready", m_born, ++m_sequence);
     }
+    // The process of the backend ends; what it runs at this moment is lost.
+    void exit()
+    {
+        m_crashed = true;
+        ::shutdown(m_listener, SHUT_RDWR);
+        record(m_id + " exits", true);
+    }
     // Sends no more heartbeats, and goes on serving.
     void stopBeating() { m_silent = true; }
     [[nodiscard]] const std::string &id() const { return m_id; }
@@ -714,7 +721,7 @@
 
     void acceptAll()
     {
-        while (!m_ended) {
+        while (!m_ended && !m_crashed) {
             const int socket = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
             if (socket < 0)
                 continue;
