Number evacuation orders and withdrawals while their caller waits

Cause: neither an evacuation order nor the DELETE of an upstream has a number on the wire, so a copy that waited in a suspended host looks like a new one when it reaches the leader seconds later.

Change: a zone counts its orders. The host that takes an order reads the count, checks that the caller still waits, and sends both to the leader; the order is applied only if the count is unchanged. Whatever the caller sent after it had given up has changed it. A DELETE gets the start of the incarnation that is known while its caller waits in the same way, so that it cannot end the next one. A request whose client has closed the connection is dropped before it is handled, in all servers. Beside that, a host takes no such call just after it was suspended, and waits 150 ms for the end of a connection whose request was held up by a partition.

Still applied after their caller gave up: configurations (version and base), heartbeats (born and sequence), and whatever is in the log already, because the log orders it before all that the caller sends later.

--- a/include/kingcuptiller/fleet/fleet_control.h
+++ b/include/kingcuptiller/fleet/fleet_control.h
@@ -96,8 +96,11 @@
     // Handles heartbeats that changed nothing, which other hosts have answered.
     void recordUnchangedHeartbeats(const std::vector<upstream_id> &upstreams, instant now);
     // Handles the message of an upstream that it ends, which contains only its id: marks the stored
-    // incarnation as terminated.
-    void withdraw(const upstream_id &id, instant now, const command_result_callback &done);
+    // incarnation as terminated. `startTimeMs` names the incarnation that was known while the
+    // upstream was waiting for the answer; nothing if none was. The result is `revision_conflict`
+    // if another incarnation is stored: the message may be a delayed one of an earlier incarnation.
+    void withdraw(const upstream_id &id, std::optional<std::int64_t> startTimeMs, instant now,
+                  const command_result_callback &done);
     // Handles a heartbeat of an entry that accepts client requests. Adds the entry to the state if
     // it is not there.
     void recordEntryHeartbeat(const serving_entry &entry, instant now);
--- a/include/kingcuptiller/fleet/fleet_state.h
+++ b/include/kingcuptiller/fleet/fleet_state.h
@@ -88,6 +88,10 @@
     zone_name zone;
     // False to end the evacuation.
     bool evacuate = true;
+    // `fleet_state::evacuationOrders` of the zone, read while the operator was waiting for the
+    // answer to this order. An order that arrives after a newer one is recognized by it. Nothing in
+    // commands of earlier versions, which are always applied.
+    std::optional<std::uint64_t> precedingOrders = std::nullopt;
 
     bool operator==(const evacuate_command &) const = default;
 };
@@ -115,8 +119,9 @@
 {
 public:
     // Returns `revision_conflict` for a configuration that is not based on the current version or
-    // does not increase the version, unless the same configuration was accepted earlier. Returns
-    // `ok` for everything else.
+    // does not increase the version, unless the same configuration was accepted earlier, and for an
+    // evacuation order that another order for the zone has preceded. Returns `ok` for everything
+    // else.
     result_code apply(const fleet_command &command);
 
     // Whether a configuration with this version and the same document was accepted earlier.
@@ -131,6 +136,9 @@
     [[nodiscard]] const std::string &document() const { return m_document; }
     // Availability zones that are evacuated.
     [[nodiscard]] const std::set<zone_name> &evacuated() const { return m_evacuated; }
+    // Number of evacuation orders for the zone that were applied so far, including those that
+    // changed nothing. Orders carry no number of their own, so this one orders them.
+    [[nodiscard]] std::uint64_t evacuationOrders(const zone_name &zone) const;
     // Upstreams in all states, including terminated ones.
     [[nodiscard]] const std::map<upstream_id, upstream_incarnation> &upstreams() const
     {
@@ -164,6 +172,7 @@
     // again.
     std::map<revision_number, std::string> m_acceptedDigests;
     std::set<zone_name> m_evacuated;
+    std::map<zone_name, std::uint64_t> m_evacuationOrders;
     std::map<upstream_id, upstream_incarnation> m_upstreams;
     std::map<endpoint_address, serving_entry> m_entries;
 };
--- a/include/kingcuptiller/node/control_node.h
+++ b/include/kingcuptiller/node/control_node.h
@@ -41,6 +41,10 @@
     fleet_control_options fleet;
     // How long a call waits for the leader; below the second after which callers go elsewhere.
     milliseconds callLimit{900};
+    // How long a host waits, before it passes on a call without an order number, for the news that
+    // the caller has given up: a request that a partition held up arrives one round trip earlier
+    // than the end of its connection.
+    milliseconds abandonmentDelay{150};
     // Views are sent to entries at most this often.
     milliseconds viewInterval{80};
     milliseconds tickInterval{50};
@@ -69,10 +73,22 @@
     control_node(const control_node &) = delete;
     control_node &operator=(const control_node &) = delete;
 
+    // Returns whether the caller of a call still waits for its answer.
+    using caller_check = std::function<bool()>;
+
     // The answers to calls; a call that gets no answer in time is `change_outcome_unknown`.
     [[nodiscard]] boost::asio::awaitable<result_code> submitCommand(fleet_command command);
+    // Starts or ends the evacuation of a zone. The order itself has no number, so it is given the
+    // number of orders that preceded it while its caller was waiting. A copy that is delayed on its
+    // way to the leader, or whose caller has turned to another host, cannot undo a newer order.
+    [[nodiscard]] boost::asio::awaitable<result_code> orderEvacuation(zone_name zone, bool evacuate,
+                                                                      caller_check isWaiting);
     [[nodiscard]] boost::asio::awaitable<result_code> announce(upstream_incarnation life);
-    [[nodiscard]] boost::asio::awaitable<result_code> withdraw(upstream_id id);
+    // Marks the present incarnation of an upstream as ended. Like the order of an evacuation, the
+    // message has no number, and gets the start time of the incarnation that is known while its
+    // caller waits.
+    [[nodiscard]] boost::asio::awaitable<result_code> withdraw(upstream_id id,
+                                                               caller_check isWaiting);
     // The newest configuration as it was sent; nothing when this host cannot be sure of it.
     [[nodiscard]] boost::asio::awaitable<std::optional<std::string>> readDocument();
 
@@ -137,6 +153,7 @@
     void runReplica();
     void scheduleRound();
     void scheduleTick();
+    void noteTick(instant now);
     void followLeadership();
     void noteEvents();
     void updateGauges();
@@ -157,6 +174,14 @@
 
     // control_calls.cpp
     boost::asio::awaitable<call_answer> call(call_text text);
+    // Makes a call that depends on the order of arrival. `makeText` reads the state on which the
+    // call is based; the leader answers `revision_conflict` if that has changed meanwhile, and the
+    // call is then made again while its caller waits.
+    boost::asio::awaitable<result_code> callInOrder(std::function<call_text()> makeText,
+                                                    caller_check isWaiting);
+    // Whether the process was suspended a moment ago. Calls that it reads now may have arrived long
+    // before.
+    [[nodiscard]] bool wasSuspended(instant now) const;
     void answerHere(const call_text &text, const call_reply &done);
     void passOn(const call_text &text, const call_reply &done);
     void noteCall(const std::string &body);
@@ -176,6 +201,9 @@
     epoch_number m_leadingTerm;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_tick;
+    instant m_lastTick;
+    // When the process ran again after it had been suspended.
+    std::optional<instant> m_resumedAt;
     bool m_roundScheduled = false;
     // The state held everything that the present leader knows at the end of the last round.
     bool m_current = false;
--- a/include/kingcuptiller/relay/traffic_server.h
+++ b/include/kingcuptiller/relay/traffic_server.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <utility>
 
 namespace kingcuptiller {
 
@@ -18,7 +19,20 @@
 class client_disconnect_signal
 {
 public:
+    client_disconnect_signal() = default;
+    // `isClosed` asks the connection itself, see `isWaiting`.
+    explicit client_disconnect_signal(std::function<bool()> isClosed)
+        : m_isClosed(std::move(isClosed))
+    {
+    }
+
     [[nodiscard]] bool hasDisconnected() const { return m_disconnected; }
+    // Whether the client still waits for the response, as the connection shows at this moment.
+    // `hasDisconnected` may lag behind, because it is set by an event of the event loop.
+    [[nodiscard]] bool isWaiting() const
+    {
+        return !m_disconnected && !(m_isClosed && m_isClosed());
+    }
     // Sets the function that is called once when the client disconnects, replacing the previous
     // one. An empty function removes it.
     void setDisconnectCallback(std::function<void()> callback) { m_callback = std::move(callback); }
@@ -26,6 +40,7 @@
     void signalDisconnect();
 
 private:
+    std::function<bool()> m_isClosed;
     bool m_disconnected = false;
     std::function<void()> m_callback;
 };
@@ -38,7 +53,8 @@
 // An HTTP/1.1 server that listens on one address and runs entirely in the thread that runs
 // `context`. It reads each request completely and handles the requests of a connection one after
 // another. For a malformed request, or one that exceeds the limits, it sends 400, 408, 413 or 431
-// and closes the connection.
+// and closes the connection. A request whose client has closed the connection before the request is
+// read, as happens while this process is suspended, is dropped without being handled.
 class traffic_server
 {
 public:
--- a/src/fleet/fleet_codec.cpp
+++ b/src/fleet/fleet_codec.cpp
@@ -135,6 +135,20 @@
     return revision_number(number);
 }
 
+// Snapshots of earlier versions have no such field.
+std::map<zone_name, std::uint64_t> evacuationOrdersFromJson(const Json::Value &snapshot)
+{
+    std::map<zone_name, std::uint64_t> orders;
+    if (!snapshot.isMember("evacuationOrders"))
+        return orders;
+    const Json::Value &object = internal::field(snapshot, "evacuationOrders");
+    if (!object.isObject())
+        internal::reportMalformed("the field evacuationOrders is not an object");
+    for (const std::string &zone : object.getMemberNames())
+        orders[zone_name(zone)] = unsignedField(object, zone.c_str());
+    return orders;
+}
+
 Json::Value toJson(const configure_command &command)
 {
     Json::Value object;
@@ -151,9 +165,19 @@
     object["kind"] = "evacuate";
     object["zone"] = command.zone.text();
     object["evacuate"] = command.evacuate;
+    if (command.precedingOrders)
+        object["preceding"] = Json::UInt64(*command.precedingOrders);
     return object;
 }
 
+evacuate_command evacuateCommandFromJson(const Json::Value &object)
+{
+    evacuate_command command{zone_name(stringField(object, "zone")), boolField(object, "evacuate")};
+    if (object.isMember("preceding"))
+        command.precedingOrders = unsignedField(object, "preceding");
+    return command;
+}
+
 Json::Value toJson(const registration_command &command)
 {
     Json::Value object;
@@ -181,8 +205,7 @@
                                  revision_number(unsignedField(object, "base")),
                                  internal::decompressText(internal::field(object, "document"))};
     if (kind == "evacuate")
-        return evacuate_command{zone_name(stringField(object, "zone")),
-                                boolField(object, "evacuate")};
+        return evacuateCommandFromJson(object);
     if (kind == "roster")
         return registration_command{incarnationsFromJson(object, "upstreams"),
                                     entriesFromJson(object, "joined"),
@@ -201,6 +224,10 @@
         accepted[std::to_string(version.number())] = digest;
     object["accepted"] = accepted;
     object["evacuated"] = listToJson(m_evacuated);
+    Json::Value orders(Json::objectValue);
+    for (const auto &[zone, count] : m_evacuationOrders)
+        orders[zone.text()] = Json::UInt64(count);
+    object["evacuationOrders"] = orders;
     Json::Value upstreams(Json::arrayValue);
     for (const auto &[id, incarnation] : m_upstreams)
         upstreams.append(toJson(incarnation));
@@ -226,6 +253,7 @@
         state.m_acceptedDigests[versionFromKey(version)] = stringField(accepted, version.c_str());
     for (const zone_name &zone : namesFromJson<zone_name>(object, "evacuated"))
         state.m_evacuated.insert(zone);
+    state.m_evacuationOrders = evacuationOrdersFromJson(object);
     for (const upstream_incarnation &incarnation : incarnationsFromJson(object, "upstreams"))
         state.m_upstreams[incarnation.id] = incarnation;
     for (const serving_entry &entry : entriesFromJson(object, "entries"))
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -147,18 +147,20 @@
     }
 }
 
-void fleet_control::withdraw(const upstream_id &id, instant now,
-                             const command_result_callback &done)
+void fleet_control::withdraw(const upstream_id &id, std::optional<std::int64_t> startTimeMs,
+                             instant now, const command_result_callback &done)
 {
+    if (!m_leading || !m_callbacks.hasLease()) {
+        done(result_code::not_leader);
+        return;
+    }
     const auto known = m_state.upstreams().find(id);
-    if (m_leading && m_callbacks.hasLease()
-        && (known == m_state.upstreams().end()
-            || known->second.state == upstream_state::terminated)) {
+    if (known == m_state.upstreams().end() || known->second.state == upstream_state::terminated) {
         done(result_code::ok);
         return;
     }
-    if (known == m_state.upstreams().end()) {
-        done(result_code::not_leader);
+    if (startTimeMs != known->second.startTimeMs) {
+        done(result_code::revision_conflict);
         return;
     }
     upstream_incarnation incarnation = known->second;
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -53,8 +53,17 @@
     return result_code::ok;
 }
 
+std::uint64_t fleet_state::evacuationOrders(const zone_name &zone) const
+{
+    const auto found = m_evacuationOrders.find(zone);
+    return found == m_evacuationOrders.end() ? 0 : found->second;
+}
+
 result_code fleet_state::applyCommand(const evacuate_command &command)
 {
+    if (command.precedingOrders && *command.precedingOrders != evacuationOrders(command.zone))
+        return result_code::revision_conflict;
+    ++m_evacuationOrders[command.zone];
     if (command.evacuate)
         m_evacuated.insert(command.zone);
     else
--- a/src/node/control_calls.cpp
+++ b/src/node/control_calls.cpp
@@ -1,6 +1,7 @@
 #include "kingcuptiller/node/control_node.h"
 
 #include "../consensus/peer_json.h"
+#include "kingcuptiller/telemetry/log.h"
 #include "kingcuptiller/values/error.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -21,6 +22,31 @@
 
 namespace {
 
+// An upstream that has ended, and the start of the incarnation that is meant, if one is known.
+struct known_incarnation
+{
+    upstream_id id;
+    std::optional<std::int64_t> startTimeMs;
+};
+
+std::string toJson(const known_incarnation &incarnation)
+{
+    Json::Value object;
+    object["id"] = incarnation.id.text();
+    if (incarnation.startTimeMs)
+        object["born"] = Json::Int64(*incarnation.startTimeMs);
+    return internal::writeCompactJson(object);
+}
+
+known_incarnation knownIncarnationFromJson(const std::string &text)
+{
+    const Json::Value object = internal::parseJsonObject(text);
+    known_incarnation incarnation{upstream_id(internal::stringField(object, "id")), std::nullopt};
+    if (object.isMember("born"))
+        incarnation.startTimeMs = internal::signedField(object, "born");
+    return incarnation;
+}
+
 std::string upstreamsToJson(const std::set<upstream_id> &upstreams)
 {
     Json::Value list(Json::arrayValue);
@@ -78,8 +104,9 @@
         m_control->submitCommand(decodeFleetCommand(text.body), now, withCode);
     } else if (text.operation == "announce") {
         m_control->announce(decodeUpstreamIncarnation(text.body), now, withCode);
-    } else if (text.operation == "withdraw") {
-        m_control->withdraw(upstream_id(text.body), now, withCode);
+    } else if (text.operation == "end_incarnation") {
+        const known_incarnation ended = knownIncarnationFromJson(text.body);
+        m_control->withdraw(ended.id, ended.startTimeMs, now, withCode);
     } else if (text.operation == "heartbeats") {
         m_control->recordUnchangedHeartbeats(upstreamsFromJson(text.body), now);
         withCode(result_code::ok);
@@ -155,6 +182,40 @@
     }
 }
 
+asio::awaitable<result_code> control_node::callInOrder(std::function<call_text()> makeText,
+                                                       caller_check isWaiting)
+{
+    const instant until = m_options.now() + m_options.callLimit - m_options.abandonmentDelay;
+    result_code code = result_code::not_leader;
+    do {
+        asio::steady_timer delay(m_context, m_options.abandonmentDelay);
+        error_code ignored;
+        co_await delay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        // The state is read before the caller is checked. Orders that the caller sends after it has
+        // given up this one are applied later than that, and make the text outdated.
+        call_text text = makeText();
+        if (wasSuspended(m_options.now()) || !isWaiting()) {
+            log_line(log_level::info, "control", "abandoned_call_dropped")
+                .field("operation", text.operation);
+            co_return result_code::not_leader;
+        }
+        const call_answer answer = co_await call(std::move(text));
+        code = answer.code;
+    } while (code == result_code::revision_conflict && m_options.now() < until);
+    co_return code == result_code::revision_conflict ? result_code::not_leader : code;
+}
+
+asio::awaitable<result_code> control_node::orderEvacuation(zone_name zone, bool evacuate,
+                                                           caller_check isWaiting)
+{
+    std::function<call_text()> makeText = [this, zone, evacuate] {
+        const evacuate_command command{zone, evacuate, m_control->state().evacuationOrders(zone)};
+        return call_text{"order", encodeFleetCommand(command)};
+    };
+    const result_code code = co_await callInOrder(std::move(makeText), std::move(isWaiting));
+    co_return code;
+}
+
 asio::awaitable<result_code> control_node::submitCommand(fleet_command command)
 {
     call_text text{"order", encodeFleetCommand(command)};
@@ -186,11 +247,17 @@
     co_return answer.code;
 }
 
-asio::awaitable<result_code> control_node::withdraw(upstream_id id)
+asio::awaitable<result_code> control_node::withdraw(upstream_id id, caller_check isWaiting)
 {
-    call_text text{"withdraw", id.text()};
-    const call_answer answer = co_await call(std::move(text));
-    co_return answer.code;
+    std::function<call_text()> makeText = [this, id] {
+        known_incarnation ended{id, std::nullopt};
+        const auto known = m_control->state().upstreams().find(id);
+        if (known != m_control->state().upstreams().end())
+            ended.startTimeMs = known->second.startTimeMs;
+        return call_text{"end_incarnation", toJson(ended)};
+    };
+    const result_code code = co_await callInOrder(std::move(makeText), std::move(isWaiting));
+    co_return code;
 }
 
 asio::awaitable<std::optional<std::string>> control_node::readDocument()
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -23,6 +23,7 @@
     , m_acceptor(
           openListener(context, {asio::ip::make_address(m_options.host.text()), m_options.port}))
     , m_tick(context)
+    , m_lastTick(m_options.now())
     , m_viewsEncoded(counters.get("kct_control_views_encoded"))
 {
     m_options.replicas.hosts = m_options.seeds;
@@ -126,12 +127,29 @@
     m_tick.async_wait([this](error_code problem) {
         if (problem)
             return;
+        noteTick(m_options.now());
         round();
         updateGauges();
         scheduleTick();
     });
 }
 
+void control_node::noteTick(instant now)
+{
+    const milliseconds pause = std::chrono::duration_cast<milliseconds>(now - m_lastTick);
+    m_lastTick = now;
+    if (pause <= m_options.callLimit)
+        return;
+    m_resumedAt = now;
+    log_line(log_level::warning, "control", "resumed").field("pause_ms", pause.count());
+}
+
+bool control_node::wasSuspended(instant now) const
+{
+    return now - m_lastTick > m_options.callLimit
+        || (m_resumedAt && now - *m_resumedAt < m_options.callLimit);
+}
+
 void control_node::updateGauges()
 {
     m_counters.get("kct_control_leading").set(m_control->isLeading() ? 1 : 0);
--- a/src/relay/traffic_server.cpp
+++ b/src/relay/traffic_server.cpp
@@ -239,9 +239,17 @@
         co_return false;
     if (!co_await readRequest(client))
         co_return false;
-    const bool keepAlive = client.request.keep_alive();
-    const auto disconnectSignal = std::make_shared<client_disconnect_signal>();
     asio::ip::tcp::socket &socket = client.stream.socket();
+    if (isClosedByPeer(socket)) {
+        log_line(log_level::debug, "traffic", "abandoned_request_dropped")
+            .field(
+                "target",
+                std::string_view(client.request.target().data(), client.request.target().size()));
+        co_return false;
+    }
+    const bool keepAlive = client.request.keep_alive();
+    const auto disconnectSignal =
+        std::make_shared<client_disconnect_signal>([&socket] { return isClosedByPeer(socket); });
     client.stream.expiresNever();
     socket.async_wait(asio::socket_base::wait_read,
                       [disconnectSignal, owner = client.shared_from_this()](error_code errorCode) {
--- a/tests/fleet/fleet_control_test.cpp
+++ b/tests/fleet/fleet_control_test.cpp
@@ -97,7 +97,7 @@
         CPPUNIT_ASSERT(!leader.lastResult);
         leader.commitAll();
         CPPUNIT_ASSERT(leader.lastResult == result_code::ok);
-        leader.control.withdraw(upstream_id("u"), leader.now, leader.storeResult());
+        leader.control.withdraw(upstream_id("u"), 1, leader.now, leader.storeResult());
         CPPUNIT_ASSERT(!leader.lastResult);
         leader.commitAll();
         CPPUNIT_ASSERT(leader.lastResult == result_code::ok);
--- a/tests/fleet/fleet_state_test.cpp
+++ b/tests/fleet/fleet_state_test.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST_SUITE(fleet_state_test);
     CPPUNIT_TEST(onlyOneOfTwoChangesToTheSameVersionIsAccepted);
     CPPUNIT_TEST(resentConfigurationIsAccepted);
+    CPPUNIT_TEST(delayedEvacuationOrderDoesNotUndoNewerOne);
     CPPUNIT_TEST(drainingUpstreamDoesNotReturnToServingInSameIncarnation);
     CPPUNIT_TEST(newIncarnationReplacesTerminatedOne);
     CPPUNIT_TEST(replacedFleetIsNotRegisteredAgainByDelayedHeartbeats);
@@ -99,6 +100,31 @@
         CPPUNIT_ASSERT_EQUAL(std::string("second"), state.document());
     }
 
+    // Guards against an order that was delayed in a suspended host and undoes a newer one, also
+    // after a restart from a snapshot.
+    void delayedEvacuationOrderDoesNotUndoNewerOne()
+    {
+        const zone_name zone("a");
+        fleet_state state;
+        const auto order = [&](bool evacuate, std::uint64_t precedingOrders) {
+            return state.apply(evacuate_command{zone, evacuate, precedingOrders});
+        };
+        CPPUNIT_ASSERT(order(true, 0) == result_code::ok);
+        CPPUNIT_ASSERT(state.apply(evacuate_command{zone_name("b"), true, 0}) == result_code::ok);
+        const std::uint64_t whenDelayed = state.evacuationOrders(zone);
+        CPPUNIT_ASSERT(order(false, whenDelayed) == result_code::ok);
+        // An order that changes nothing counts too.
+        CPPUNIT_ASSERT(order(false, state.evacuationOrders(zone)) == result_code::ok);
+        CPPUNIT_ASSERT(order(true, state.evacuationOrders(zone)) == result_code::ok);
+        fleet_state restored;
+        restored.restore(state.snapshot());
+        state = restored;
+        for (std::uint64_t preceding = 0; preceding < state.evacuationOrders(zone); ++preceding)
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(preceding),
+                                   order(false, preceding) == result_code::revision_conflict);
+        CPPUNIT_ASSERT(state.evacuated().contains(zone));
+    }
+
     // Guards against sending requests to a draining upstream again because of a later command with
     // the state `serving`, from the same incarnation or from an earlier one.
     void drainingUpstreamDoesNotReturnToServingInSameIncarnation()
@@ -159,6 +185,7 @@
                                   zone_name("a")};
         const std::vector<fleet_command> commands = {
             configure(0, 4, "text \"quoted\""), evacuate_command{zone_name("a"), true},
+            evacuate_command{zone_name("b"), true, 0},
             registration_command{{silent}, {entry}, {endpoint_address("10.0.0.8:80")}}};
         fleet_state state;
         for (const fleet_command &command : commands) {
@@ -190,6 +217,8 @@
             replaced("\"accepted\":{\"4\"", "\"accepted\":{\"99999999999999999999999\""),
             replaced("\"accepted\":{", "\"accepted\":[],\"x\":{"),
             replaced("\"upstreams\":[]", "\"upstreams\":[1]"),
+            replaced("\"evacuationOrders\":{}", "\"evacuationOrders\":[]"),
+            replaced("\"evacuationOrders\":{}", "\"evacuationOrders\":{\"a\":-1}"),
             replaced("\"upstreams\":[]", "\"upstreams\":" + std::string(100'000, '[')),
         };
         for (const std::string &each : snapshots) {
--- a/tests/node/control_node_test.cpp
+++ b/tests/node/control_node_test.cpp
@@ -17,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -198,7 +199,7 @@
         result.seeds = {result.host};
         result.founding = true;
         result.dataFolder = folder.path;
-        result.now = readInstant;
+        result.now = [this] { return readInstant() + suspension; };
         result.random = [] { return std::uint64_t{std::random_device()()}; };
         return result;
     }
@@ -209,6 +210,33 @@
         return runUntil(context, condition);
     }
 
+    // Orders an evacuation. Returns nothing while the call is unanswered.
+    std::shared_ptr<std::optional<result_code>> evacuate(const zone_name &zone, bool begins,
+                                                         control_node::caller_check isWaiting)
+    {
+        const auto answer = std::make_shared<std::optional<result_code>>();
+        asio::co_spawn(
+            context,
+            [](control_node &host, zone_name ordered, bool evacuated,
+               control_node::caller_check check,
+               std::shared_ptr<std::optional<result_code>> result) -> asio::awaitable<void> {
+                const result_code code =
+                    co_await host.orderEvacuation(std::move(ordered), evacuated, std::move(check));
+                *result = code;
+            }(node, zone, begins, std::move(isWaiting), answer),
+            asio::detached);
+        return answer;
+    }
+
+    // The evacuated zones, as an entry that connects now is informed of them.
+    std::set<zone_name> evacuatedZones()
+    {
+        fake_entry entry(context, address());
+        entry.sendPresence(true);
+        CPPUNIT_ASSERT(reaches([&] { return entry.view.appliedCommands > 0; }));
+        return entry.view.evacuated;
+    }
+
     // Orders a configuration until it is accepted.
     bool configure(std::uint64_t version, const std::string &document)
     {
@@ -232,6 +260,8 @@
 
     asio::ip::tcp::endpoint address() const { return {asio::ip::make_address("127.0.0.5"), port}; }
 
+    // How long the host has been suspended so far: its clock runs on, its event loop does not.
+    milliseconds suspension{0};
     temporary_folder folder;
     asio::io_context context;
     std::uint16_t port = findFreePort();
@@ -251,6 +281,7 @@
     CPPUNIT_TEST(packedDocumentsThatCannotBeReadAreRefused);
     CPPUNIT_TEST(disksThatAreFullOneAfterAnotherDoNotStopChanges);
     CPPUNIT_TEST(malformedFramesCloseTheirConnectionOnly);
+    CPPUNIT_TEST(ordersOfCallersThatGaveUpAreDropped);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -381,6 +412,36 @@
         CPPUNIT_ASSERT(world.configure(2, documentOf(2)));
     }
 
+    // Guards against applying an order whose caller has turned to another host and may have sent a
+    // newer order: because the caller has closed its connection, or because the order lay in this
+    // host while it was suspended.
+    void ordersOfCallersThatGaveUpAreDropped()
+    {
+        struct order_case
+        {
+            std::string name;
+            bool callerWaits;
+            milliseconds suspension;
+            bool isApplied;
+        };
+        const std::vector<order_case> cases = {
+            {"the caller waits", true, milliseconds(0), true},
+            {"the caller has closed its connection", false, milliseconds(0), false},
+            {"the host was suspended", true, milliseconds(4'000), false},
+        };
+        for (const order_case &each : cases) {
+            control_world world;
+            CPPUNIT_ASSERT(world.configure(1, documentOf(1)));
+            world.suspension += each.suspension;
+            const auto answer =
+                world.evacuate(zone_name("a"), true, [&each] { return each.callerWaits; });
+            CPPUNIT_ASSERT_MESSAGE(each.name, world.reaches([&] { return answer->has_value(); }));
+            CPPUNIT_ASSERT_MESSAGE(each.name, (*answer == result_code::ok) == each.isApplied);
+            CPPUNIT_ASSERT_MESSAGE(
+                each.name, world.evacuatedZones().contains(zone_name("a")) == each.isApplied);
+        }
+    }
+
     // Guards against a control host that ends when its disk is full, and against one that never
     // takes part again although its disk has room: with several of them, changes are refused for
     // good.
--- a/tests/relay/traffic_server_test.cpp
+++ b/tests/relay/traffic_server_test.cpp
@@ -1,5 +1,6 @@
 #include "kingcuptiller/relay/traffic_server.h"
 
+#include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
@@ -32,6 +33,7 @@
 {
     CPPUNIT_TEST_SUITE(traffic_server_test);
     CPPUNIT_TEST(drainDuringIdleTimeoutDoesNotThrow);
+    CPPUNIT_TEST(requestOfClosedConnectionIsDropped);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -59,6 +61,34 @@
             CPPUNIT_ASSERT_NO_THROW_MESSAGE(std::to_string(handlers), server.startDraining());
         }
     }
+
+    // Guards against handling a request that its client has given up and sent to another server,
+    // after this process was suspended.
+    void requestOfClosedConnectionIsDropped()
+    {
+        for (const bool isClosed : {false, true}) {
+            asio::io_context context;
+            int handledRequests = 0;
+            traffic_server server(
+                context, parseTcpEndpoint("127.0.0.1:0"),
+                [&handledRequests](const relay_request &,
+                                   client_disconnect_signal &) -> asio::awaitable<relay_response> {
+                    ++handledRequests;
+                    co_return relay_response{};
+                },
+                shortLimits);
+            asio::io_context clientContext;
+            asio::ip::tcp::socket client(clientContext);
+            client.connect(server.address());
+            const std::string request = "DELETE /orders/1 HTTP/1.1\r\nHost: a\r\n\r\n";
+            asio::write(client, asio::buffer(request));
+            if (isClosed)
+                client.close();
+            context.run_for(idleLimit);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(isClosed ? "closed" : "open", isClosed ? 0 : 1,
+                                         handledRequests);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(traffic_server_test);
