Order the heartbeats of an upstream by its own numbers alone

Cause: any later start at the address of a backend made control answer all heartbeats of that backend with `ok` and drop them, `draining` and the DELETE too. One heartbeat of another writer is enough for that.

Change: a claim of the address no longer touches a registered incarnation. One that is not registered waits until its heartbeats have continued for a second, because delayed ones arrive together. A heartbeat that is not taken is answered with the new code `announcement_superseded`, not `ok`. Related paths that took a late copy for a new one: a repeated heartbeat restarted the timeout of an ended upstream; the reports between control hosts named no heartbeat, so a delayed one did the same; a heartbeat that was committed after a later one put its older values back. All go by start and sequence now.

--- a/include/kingcuptiller/fleet/fleet_control.h
+++ b/include/kingcuptiller/fleet/fleet_control.h
@@ -40,6 +40,10 @@
     // remaining cold time is replicated only if the time increases by more than this threshold or
     // decreases to 0.
     milliseconds coldChangeThreshold{1'000};
+    // An upstream at whose address a later incarnation is registered is itself registered once its
+    // heartbeats have continued for this long. Delayed heartbeats of an ended upstream arrive
+    // together.
+    milliseconds contestedAddressDelay{1'000};
 
     bool operator==(const fleet_control_options &) const = default;
 };
@@ -54,9 +58,21 @@
     std::function<bool()> hasLease;
 };
 
+// Names one heartbeat of an upstream.
+struct heartbeat_number
+{
+    upstream_id id;
+    // As in `upstream_incarnation`.
+    std::int64_t startTimeMs = 0;
+    std::uint64_t sequence = 0;
+
+    auto operator<=>(const heartbeat_number &) const = default;
+};
+
 // Receives the result of a command or heartbeat:
 // - `ok`: it is committed, or changes nothing and needs no command;
 // - `revision_conflict`: the configuration is based on a version that is not the current one;
+// - `announcement_superseded`: the heartbeat is not taken, because it seems to be a delayed one;
 // - `not_leader`: no command was proposed; the caller may try again, here or at another host;
 // - `change_outcome_unknown`: a command was proposed, and may or may not be committed later.
 using command_result_callback = std::function<void(result_code)>;
@@ -70,6 +86,10 @@
 // control host that cannot reach a majority cannot commit and so never reports `ok` for a command.
 // A heartbeat that changes nothing is reported as `ok` without a command.
 //
+// Heartbeats may arrive late, repeatedly and in a different order. `startTimeMs` and `sequence`
+// order those of one upstream. No result is `ok` while the state contradicts the heartbeat, unless
+// a later heartbeat of the same incarnation has arrived.
+//
 // The class uses no threads, sockets or clocks. It is not thread-safe: one thread calls it, passes
 // each committed command to `apply` in log order, and calls `tick` several times a second.
 class fleet_control
@@ -92,9 +112,9 @@
                   const command_result_callback &done);
     // Whether a heartbeat changes nothing in the replicated state, as this host knows it. Such a
     // heartbeat needs no answer of the leader.
-    [[nodiscard]] bool isUnchanged(const upstream_incarnation &incarnation) const;
+    [[nodiscard]] bool isUnchanged(const upstream_incarnation &incarnation, instant now) const;
     // Handles heartbeats that changed nothing, which other hosts have answered.
-    void recordUnchangedHeartbeats(const std::vector<upstream_id> &upstreams, instant now);
+    void recordUnchangedHeartbeats(const std::vector<heartbeat_number> &heartbeats, instant now);
     // Handles the message of an upstream that it ends, which contains only its id: marks the stored
     // incarnation as terminated. `startTimeMs` names the incarnation that was known while the
     // upstream was waiting for the answer; nothing if none was. The result is `revision_conflict`
@@ -112,7 +132,7 @@
     void tick(instant now);
     // Applies a committed command in the encoding of `encodeFleetCommand`, and reports the result
     // if this host proposed it. Throws `error` with `message_malformed`.
-    void apply(fleet_log_position position, const std::string &text);
+    void apply(fleet_log_position position, const std::string &text, instant now);
 
     [[nodiscard]] const fleet_state &state() const { return m_state; }
     // Replaces the state by a snapshot. Throws `error` with `message_malformed`.
@@ -133,6 +153,22 @@
         command_result_callback done;
     };
 
+    // The latest heartbeat of an upstream that changed nothing or registered the upstream.
+    struct heartbeat_record
+    {
+        instant receivedAt;
+        std::int64_t startTimeMs = 0;
+        std::uint64_t sequence = 0;
+    };
+
+    // The first heartbeat of an upstream whose address a later incarnation has.
+    struct contested_upstream
+    {
+        std::int64_t startTimeMs = 0;
+        std::uint64_t sequence = 0;
+        instant firstHeartbeat;
+    };
+
     // The last proposed change of an entry whose command is not yet committed.
     struct pending_entry_change
     {
@@ -148,18 +184,35 @@
     // The entry as it will be if all pending commands are committed.
     [[nodiscard]] std::optional<serving_entry> expectedEntry(const endpoint_address &address) const;
     // Whether the heartbeat is not outdated and changes the stored incarnation in more than its
-    // sequence number. A change of the remaining cold time counts only if the time increases by
-    // more than `coldChangeThreshold` or decreases to 0.
-    [[nodiscard]] bool needsReplication(const upstream_incarnation &incarnation) const;
-    // Whether an incarnation that started later, under another id, has taken over the address.
-    [[nodiscard]] bool isSuperseded(const upstream_incarnation &incarnation) const;
+    // sequence number. A change of the remaining cold time counts only if the time exceeds the
+    // expected one by more than `coldChangeThreshold` or decreases to 0.
+    [[nodiscard]] bool needsReplication(const upstream_incarnation &incarnation, instant now) const;
+    // How long the stored incarnation is still cold according to its last replicated report. 0 if
+    // the time of that report is unknown.
+    [[nodiscard]] milliseconds expectedColdTime(const upstream_incarnation &stored,
+                                                instant now) const;
+    // Whether an incarnation that started later, under another id, has the address.
+    [[nodiscard]] bool isAddressContested(const upstream_incarnation &incarnation) const;
+    // Records the heartbeat of an upstream whose address is contested. Returns whether its
+    // heartbeats have continued for `contestedAddressDelay`.
+    [[nodiscard]] bool continuesToAnnounce(const upstream_incarnation &incarnation, instant now);
+    // Whether the heartbeat belongs to an incarnation that a later one has replaced, or seems to.
+    [[nodiscard]] bool isSuperseded(const upstream_incarnation &incarnation, instant now);
+    // The upstreams whose heartbeat timeout has passed, as they are to be stored.
+    [[nodiscard]] std::vector<upstream_incarnation> newlySilentUpstreams(instant now) const;
+    void recordColdReports(const registration_command &command, instant now);
+    // Restarts the heartbeat timeout, unless the heartbeat is a copy or an earlier one.
+    void recordHeartbeat(const heartbeat_number &heartbeat, instant now);
 
     fleet_control_options m_options;
     fleet_control_callbacks m_callbacks;
     fleet_state m_state;
     fleet_change_tracker m_changes;
     bool m_leading = false;
-    std::map<upstream_id, instant> m_upstreamLastHeartbeat;
+    std::map<upstream_id, heartbeat_record> m_upstreamHeartbeats;
+    std::map<upstream_id, contested_upstream> m_contestedUpstreams;
+    // When this host applied the last report that an upstream is cold.
+    std::map<upstream_id, instant> m_coldReportedAt;
     std::map<endpoint_address, instant> m_entryLastHeartbeat;
     std::map<log_index, pending_command> m_pendingCommands;
     std::map<endpoint_address, pending_entry_change> m_pendingEntryChanges;
--- a/include/kingcuptiller/node/control_node.h
+++ b/include/kingcuptiller/node/control_node.h
@@ -187,7 +187,7 @@
     void noteCall(const std::string &body);
     void noteReply(const std::string &body);
     void expireCalls();
-    // Names the upstreams whose heartbeats were answered here to the leader.
+    // Names the heartbeats that were answered here to the leader.
     void reportHeartbeats();
 
     boost::asio::io_context &m_context;
@@ -220,8 +220,9 @@
         call_reply done;
         instant until;
     };
-    // Upstreams whose heartbeats were answered here since the last report to the leader.
-    std::set<upstream_id> m_heardUpstreams;
+    // The latest heartbeats of upstreams that were answered here since the last report to the
+    // leader.
+    std::map<upstream_id, heartbeat_number> m_answeredHeartbeats;
     instant m_heartbeatReportTime;
     std::uint64_t m_nextCall = 1;
     std::map<std::uint64_t, waiting_call> m_calls;
--- a/include/kingcuptiller/values/result_code.h
+++ b/include/kingcuptiller/values/result_code.h
@@ -72,6 +72,7 @@
     data_folder_not_founding = 506,
     disk_failed = 507,
     identity_superseded = 508,
+    announcement_superseded = 509,
 
     // 600-699: the process itself.
     restart_limit_reached = 600,
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -3,11 +3,23 @@
 #include "kingcuptiller/telemetry/log.h"
 
 #include <algorithm>
-#include <cstdlib>
+#include <tuple>
 #include <utility>
 
 namespace kingcuptiller {
 
+namespace {
+
+// Further upstreams whose addresses are contested are not registered.
+constexpr std::size_t maximumContestedUpstreams = 10'000;
+
+heartbeat_number numberOf(const upstream_incarnation &incarnation)
+{
+    return {incarnation.id, incarnation.startTimeMs, incarnation.sequence};
+}
+
+} // namespace
+
 fleet_control::fleet_control(const fleet_control_options &options,
                              fleet_control_callbacks callbacks)
     : m_options(options)
@@ -21,7 +33,7 @@
     // Upstreams and entries sent their earlier heartbeats to the previous leader. None is
     // considered silent before it has had a full timeout to send one to this leader.
     for (const auto &[id, incarnation] : m_state.upstreams())
-        m_upstreamLastHeartbeat[id] = now;
+        m_upstreamHeartbeats[id] = {now, incarnation.startTimeMs, incarnation.sequence};
     for (const auto &[address, entry] : m_state.entries())
         m_entryLastHeartbeat[address] = now;
 }
@@ -29,7 +41,8 @@
 void fleet_control::stopLeading()
 {
     m_leading = false;
-    m_upstreamLastHeartbeat.clear();
+    m_upstreamHeartbeats.clear();
+    m_contestedUpstreams.clear();
     m_entryLastHeartbeat.clear();
     for (auto &[index, pending] : std::exchange(m_pendingCommands, {}))
         pending.done(result_code::change_outcome_unknown);
@@ -67,9 +80,8 @@
     propose(command, now, done);
 }
 
-bool fleet_control::isSuperseded(const upstream_incarnation &incarnation) const
+bool fleet_control::isAddressContested(const upstream_incarnation &incarnation) const
 {
-    // A delayed heartbeat may arrive after a newer incarnation has taken over the address.
     return std::any_of(m_state.upstreams().begin(), m_state.upstreams().end(),
                        [&](const auto &each) {
                            const upstream_incarnation &other = each.second;
@@ -78,7 +90,54 @@
                        });
 }
 
-bool fleet_control::needsReplication(const upstream_incarnation &incarnation) const
+bool fleet_control::continuesToAnnounce(const upstream_incarnation &incarnation, instant now)
+{
+    auto first = m_contestedUpstreams.find(incarnation.id);
+    if (first == m_contestedUpstreams.end()
+        || first->second.startTimeMs != incarnation.startTimeMs) {
+        if (m_contestedUpstreams.size() < maximumContestedUpstreams)
+            m_contestedUpstreams[incarnation.id] = {incarnation.startTimeMs, incarnation.sequence,
+                                                    now};
+        return false;
+    }
+    return incarnation.sequence > first->second.sequence
+        && now - first->second.firstHeartbeat >= m_options.contestedAddressDelay;
+}
+
+bool fleet_control::isSuperseded(const upstream_incarnation &incarnation, instant now)
+{
+    const auto known = m_state.upstreams().find(incarnation.id);
+    const bool isKnown = known != m_state.upstreams().end();
+    if (isKnown && known->second.startTimeMs == incarnation.startTimeMs)
+        return false;
+    if (isKnown && known->second.startTimeMs > incarnation.startTimeMs)
+        return true;
+    // Another incarnation with its address does not prove that the upstream has ended. The claim
+    // may be wrong.
+    return isAddressContested(incarnation) && !continuesToAnnounce(incarnation, now);
+}
+
+void fleet_control::recordHeartbeat(const heartbeat_number &heartbeat, instant now)
+{
+    const heartbeat_record latest{now, heartbeat.startTimeMs, heartbeat.sequence};
+    const auto [place, isNew] = m_upstreamHeartbeats.try_emplace(heartbeat.id, latest);
+    heartbeat_record &record = place->second;
+    if (!isNew
+        && std::tuple(record.startTimeMs, record.sequence)
+            < std::tuple(latest.startTimeMs, latest.sequence))
+        record = latest;
+}
+
+milliseconds fleet_control::expectedColdTime(const upstream_incarnation &stored, instant now) const
+{
+    const auto reported = m_coldReportedAt.find(stored.id);
+    if (reported == m_coldReportedAt.end())
+        return milliseconds(0);
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(now - reported->second);
+    return std::max(stored.coldRemaining - elapsed, milliseconds(0));
+}
+
+bool fleet_control::needsReplication(const upstream_incarnation &incarnation, instant /*now*/) const
 {
     const auto known = m_state.upstreams().find(incarnation.id);
     if (known == m_state.upstreams().end())
@@ -90,6 +149,12 @@
         return incarnation.state > previous.state;
     if (incarnation.sequence <= previous.sequence || previous.state == upstream_state::terminated)
         return false;
+    // Heartbeats that changed nothing are not stored.
+    const auto latest = m_upstreamHeartbeats.find(incarnation.id);
+    if (latest != m_upstreamHeartbeats.end()
+        && latest->second.startTimeMs == incarnation.startTimeMs
+        && latest->second.sequence >= incarnation.sequence)
+        return false;
     return previous.silent || incarnation.address != previous.address
         || incarnation.slots != previous.slots || incarnation.service != previous.service
         || incarnation.zone != previous.zone
@@ -105,17 +170,23 @@
         done(result_code::not_leader);
         return;
     }
-    if (isSuperseded(incarnation)) {
-        done(result_code::ok);
+    if (isSuperseded(incarnation, now)) {
+        log_line(log_level::info, "fleet", "announcement_superseded")
+            .field("upstream", incarnation.id.text())
+            .field("address", incarnation.address.text())
+            .field("born", incarnation.startTimeMs)
+            .field("sequence", incarnation.sequence);
+        done(result_code::announcement_superseded);
         return;
     }
-    const auto known = m_state.upstreams().find(incarnation.id);
-    if (known == m_state.upstreams().end() || !incarnation.isOlderThan(known->second))
-        m_upstreamLastHeartbeat[incarnation.id] = now;
-    if (!needsReplication(incarnation)) {
+    m_contestedUpstreams.erase(incarnation.id);
+    if (!needsReplication(incarnation, now)) {
+        recordHeartbeat(numberOf(incarnation), now);
         done(result_code::ok);
         return;
     }
+    // Its number is recorded by the commit: until then, copies of it are proposed too.
+    m_upstreamHeartbeats[incarnation.id].receivedAt = now;
     log_line(log_level::info, "fleet", "upstream_changed")
         .field("upstream", incarnation.id.text())
         .field("service", incarnation.service.text())
@@ -127,23 +198,23 @@
     propose(registration_command{{incarnation}, {}, {}}, now, done);
 }
 
-bool fleet_control::isUnchanged(const upstream_incarnation &incarnation) const
+bool fleet_control::isUnchanged(const upstream_incarnation &incarnation, instant now) const
 {
     const auto known = m_state.upstreams().find(incarnation.id);
     return known != m_state.upstreams().end()
-        && known->second.startTimeMs == incarnation.startTimeMs && !needsReplication(incarnation);
+        && known->second.startTimeMs == incarnation.startTimeMs
+        && !needsReplication(incarnation, now);
 }
 
-void fleet_control::recordUnchangedHeartbeats(const std::vector<upstream_id> &upstreams,
+void fleet_control::recordUnchangedHeartbeats(const std::vector<heartbeat_number> &heartbeats,
                                               instant now)
 {
     if (!m_leading)
         return;
-    for (const upstream_id &id : upstreams) {
-        const auto known = m_upstreamLastHeartbeat.find(id);
+    for (const heartbeat_number &heartbeat : heartbeats) {
         // An upstream that was marked as silent meanwhile sends its next heartbeat here.
-        if (known != m_upstreamLastHeartbeat.end())
-            known->second = now;
+        if (m_upstreamHeartbeats.contains(heartbeat.id))
+            recordHeartbeat(heartbeat, now);
     }
 }
 
@@ -212,6 +283,26 @@
     proposeRegistration({{}, {}, {address}}, now);
 }
 
+std::vector<upstream_incarnation> fleet_control::newlySilentUpstreams(instant now) const
+{
+    std::vector<upstream_incarnation> result;
+    for (const auto &[id, heartbeat] : m_upstreamHeartbeats) {
+        const auto known = m_state.upstreams().find(id);
+        if (known == m_state.upstreams().end() || known->second.state == upstream_state::terminated
+            || known->second.silent
+            || now - heartbeat.receivedAt < m_options.upstreamHeartbeatTimeout)
+            continue;
+        upstream_incarnation incarnation = known->second;
+        incarnation.silent = true;
+        incarnation.coldRemaining = expectedColdTime(known->second, now);
+        // So that a copy of a heartbeat that was not stored does not end the silence.
+        if (heartbeat.startTimeMs == incarnation.startTimeMs)
+            incarnation.sequence = std::max(incarnation.sequence, heartbeat.sequence);
+        result.push_back(incarnation);
+    }
+    return result;
+}
+
 void fleet_control::tick(instant now)
 {
     std::vector<log_index> overdue;
@@ -223,16 +314,11 @@
         m_pendingCommands.extract(index).mapped().done(result_code::change_outcome_unknown);
     if (!m_leading)
         return;
+    std::erase_if(m_contestedUpstreams, [&](const auto &each) {
+        return now - each.second.firstHeartbeat >= m_options.upstreamHeartbeatTimeout;
+    });
     registration_command timeoutCommand;
-    for (const auto &[id, lastHeartbeat] : m_upstreamLastHeartbeat) {
-        const auto known = m_state.upstreams().find(id);
-        if (known == m_state.upstreams().end() || known->second.state == upstream_state::terminated
-            || known->second.silent || now - lastHeartbeat < m_options.upstreamHeartbeatTimeout)
-            continue;
-        upstream_incarnation incarnation = known->second;
-        incarnation.silent = true;
-        timeoutCommand.upstreams.push_back(incarnation);
-    }
+    timeoutCommand.upstreams = newlySilentUpstreams(now);
     for (const auto &[address, lastHeartbeat] : m_entryLastHeartbeat) {
         if (now - lastHeartbeat >= m_options.entryHeartbeatTimeout)
             timeoutCommand.removedEntries.push_back(address);
@@ -241,7 +327,7 @@
         return;
     // Only now; a refused proposal is made again at the next tick.
     for (const upstream_incarnation &incarnation : timeoutCommand.upstreams) {
-        m_upstreamLastHeartbeat.erase(incarnation.id);
+        m_upstreamHeartbeats.erase(incarnation.id);
         log_line(log_level::warning, "fleet", "upstream_silent")
             .field("upstream", incarnation.id.text());
     }
@@ -251,12 +337,25 @@
     }
 }
 
-void fleet_control::apply(fleet_log_position position, const std::string &text)
+void fleet_control::recordColdReports(const registration_command &command, instant now)
+{
+    for (const upstream_incarnation &incarnation : command.upstreams) {
+        if (incarnation.state == upstream_state::serving
+            && incarnation.coldRemaining > milliseconds(0))
+            m_coldReportedAt[incarnation.id] = now;
+        else
+            m_coldReportedAt.erase(incarnation.id);
+    }
+}
+
+void fleet_control::apply(fleet_log_position position, const std::string &text, instant now)
 {
     const fleet_command command = decodeFleetCommand(text);
     const revision_number previousVersion = m_state.version();
     const result_code code = m_state.apply(command);
     m_changes.recordCommand(command, m_state);
+    if (const auto *const registration = std::get_if<registration_command>(&command))
+        recordColdReports(*registration, now);
     if (m_state.version() != previousVersion)
         log_line(log_level::info, "fleet", "configuration_applied")
             .field("version", m_state.version().number())
@@ -274,6 +373,7 @@
 {
     m_state.restore(snapshot);
     m_changes.reset(m_state);
+    m_coldReportedAt.clear();
 }
 
 } // namespace kingcuptiller
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -84,6 +84,7 @@
 
 void fleet_state::storeUpstream(const upstream_incarnation &incarnation)
 {
+    upstream_incarnation stored = incarnation;
     const auto known = m_upstreams.find(incarnation.id);
     if (known != m_upstreams.end()) {
         const upstream_incarnation &previous = known->second;
@@ -93,8 +94,13 @@
             || (incarnation.startTimeMs == previous.startTimeMs
                 && incarnation.state < previous.state))
             return;
+        // Of a heartbeat that a later one has overtaken, only the end of serving is news.
+        if (incarnation.isOlderThan(previous)) {
+            stored = previous;
+            stored.state = incarnation.state;
+        }
     }
-    m_upstreams[incarnation.id] = incarnation;
+    m_upstreams[incarnation.id] = stored;
     const auto terminatedCount =
         std::count_if(m_upstreams.begin(), m_upstreams.end(), [](const auto &each) {
             return each.second.state == upstream_state::terminated;
--- a/src/node/control_calls.cpp
+++ b/src/node/control_calls.cpp
@@ -7,8 +7,9 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+#include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -47,26 +48,30 @@
     return incarnation;
 }
 
-std::string upstreamsToJson(const std::set<upstream_id> &upstreams)
+std::string toJson(const std::map<upstream_id, heartbeat_number> &heartbeats)
 {
     Json::Value list(Json::arrayValue);
-    for (const upstream_id &id : upstreams)
-        list.append(id.text());
+    for (const auto &[id, heartbeat] : heartbeats) {
+        Json::Value object;
+        object["id"] = id.text();
+        object["born"] = Json::Int64(heartbeat.startTimeMs);
+        object["sequence"] = Json::UInt64(heartbeat.sequence);
+        list.append(object);
+    }
     Json::Value object;
-    object["upstreams"] = list;
+    object["heartbeats"] = list;
     return internal::writeCompactJson(object);
 }
 
-std::vector<upstream_id> upstreamsFromJson(const std::string &text)
+std::vector<heartbeat_number> heartbeatsFromJson(const std::string &text)
 {
-    std::vector<upstream_id> upstreams;
+    std::vector<heartbeat_number> heartbeats;
     const Json::Value object = internal::parseJsonObject(text);
-    for (const Json::Value &each : internal::arrayField(object, "upstreams")) {
-        if (!each.isString())
-            internal::reportMalformed("the id of an upstream is not a string");
-        upstreams.emplace_back(each.asString());
-    }
-    return upstreams;
+    for (const Json::Value &each : internal::arrayField(object, "heartbeats"))
+        heartbeats.push_back({upstream_id(internal::stringField(each, "id")),
+                              internal::signedField(each, "born"),
+                              internal::unsignedField(each, "sequence")});
+    return heartbeats;
 }
 
 } // namespace
@@ -107,8 +112,8 @@
     } else if (text.operation == "end_incarnation") {
         const known_incarnation ended = knownIncarnationFromJson(text.body);
         m_control->withdraw(ended.id, ended.startTimeMs, now, withCode);
-    } else if (text.operation == "heartbeats") {
-        m_control->recordUnchangedHeartbeats(upstreamsFromJson(text.body), now);
+    } else if (text.operation == "unchanged_heartbeats") {
+        m_control->recordUnchangedHeartbeats(heartbeatsFromJson(text.body), now);
         withCode(result_code::ok);
     } else if (text.operation == "entry") {
         m_control->recordEntryHeartbeat(decodeServingEntry(text.body), now);
@@ -226,19 +231,21 @@
 void control_node::reportHeartbeats()
 {
     const instant now = m_options.now();
-    if (m_heardUpstreams.empty() || now < m_heartbeatReportTime)
+    if (m_answeredHeartbeats.empty() || now < m_heartbeatReportTime)
         return;
     m_heartbeatReportTime = now + m_options.heartbeatReportInterval;
-    passOn({"heartbeats", upstreamsToJson(m_heardUpstreams)}, [](const call_answer &) {});
-    m_heardUpstreams.clear();
+    passOn({"unchanged_heartbeats", toJson(m_answeredHeartbeats)}, [](const call_answer &) {});
+    m_answeredHeartbeats.clear();
 }
 
 asio::awaitable<result_code> control_node::announce(upstream_incarnation life)
 {
     // Most heartbeats change nothing. Passing on each of them would take all the time of the leader
     // of a large fleet.
-    if (m_current && !m_control->isLeading() && m_control->isUnchanged(life)) {
-        m_heardUpstreams.insert(life.id);
+    if (m_current && !m_control->isLeading() && m_control->isUnchanged(life, m_options.now())) {
+        const heartbeat_number heartbeat{life.id, life.startTimeMs, life.sequence};
+        heartbeat_number &latest = m_answeredHeartbeats[life.id];
+        latest = std::max(latest, heartbeat);
         m_counters.get("kct_control_heartbeats_answered").add();
         co_return result_code::ok;
     }
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -187,7 +187,7 @@
     m_replica->tick(now);
     sendOutgoing();
     for (const committed_entry &each : m_replica->takeCommitted())
-        m_control->apply({each.index, each.term}, each.command);
+        m_control->apply({each.index, each.term}, each.command, now);
     followLeadership();
     m_control->tick(now);
     sendOutgoing();
--- a/src/values/result_code.cpp
+++ b/src/values/result_code.cpp
@@ -114,6 +114,9 @@
     {result_code::disk_failed, "disk_failed", "The disk refused a write; replace it."},
     {result_code::identity_superseded, "identity_superseded",
      "A newer incarnation of this host has taken its place; remove the old data folder."},
+    {result_code::announcement_superseded, "announcement_superseded",
+     "A later start of this upstream, or of another one at its address, is registered; announce "
+     "again if it still runs."},
     {result_code::restart_limit_reached, "restart_limit_reached",
      "A component failed too often; see the log for the cause."},
     {result_code::port_unavailable, "port_unavailable",
--- a/tests/fleet/fleet_state_test.cpp
+++ b/tests/fleet/fleet_state_test.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(resentConfigurationIsAccepted);
     CPPUNIT_TEST(delayedEvacuationOrderDoesNotUndoNewerOne);
     CPPUNIT_TEST(drainingUpstreamDoesNotReturnToServingInSameIncarnation);
+    CPPUNIT_TEST(overtakenHeartbeatChangesNothingButTheState);
     CPPUNIT_TEST(newIncarnationReplacesTerminatedOne);
     CPPUNIT_TEST(replacedFleetIsNotRegisteredAgainByDelayedHeartbeats);
     CPPUNIT_TEST(snapshotAndCommandsRoundTripThroughJson);
@@ -138,6 +139,22 @@
         CPPUNIT_ASSERT(state.upstreams().at(upstream_id("u")).state == upstream_state::draining);
     }
 
+    // Guards against values of an earlier heartbeat that come back because it was committed after a
+    // later one.
+    void overtakenHeartbeatChangesNothingButTheState()
+    {
+        for (const upstream_state state : {upstream_state::serving, upstream_state::draining}) {
+            fleet_state fleet;
+            upstream_incarnation later = makeIncarnation("u", 100, 8);
+            later.coldRemaining = milliseconds(3'000);
+            fleet.apply(registration_command{{later}, {}, {}});
+            fleet.apply(registration_command{{makeIncarnation("u", 100, 7, state)}, {}, {}});
+            upstream_incarnation expected = later;
+            expected.state = state;
+            CPPUNIT_ASSERT(fleet.upstreams().at(upstream_id("u")) == expected);
+        }
+    }
+
     // Guards against ignoring an upstream that was restarted with the same id.
     void newIncarnationReplacesTerminatedOne()
     {
