Compare a cold time with what is left of the previous one

Cause: the state keeps the remaining cold time of the last stored heartbeat without its moment. A renewed time was compared with that figure as if both had been reported at once, so 2,000 ms reported three seconds after 3,000 ms counted as no news.

The threshold goes from 1 s to 250 ms, because it now covers only different delays of heartbeats.

--- a/include/kingcuptiller/fleet/fleet_control.h
+++ b/include/kingcuptiller/fleet/fleet_control.h
@@ -36,10 +36,10 @@
     // Time after which a proposed command that has not been committed is reported to its caller as
     // `change_outcome_unknown`.
     milliseconds commitTimeout{2'500};
-    // An upstream is cold while it has just started and its caches are empty. A change of its
-    // remaining cold time is replicated only if the time increases by more than this threshold or
-    // decreases to 0.
-    milliseconds coldChangeThreshold{1'000};
+    // An upstream is cold while it has just started and its caches are empty. A report that it
+    // stays cold for longer than its previous report implies is replicated if the difference
+    // exceeds this threshold. Heartbeats arrive with different delays.
+    milliseconds coldChangeThreshold{250};
     // An upstream at whose address a later incarnation is registered is itself registered once its
     // heartbeats have continued for this long. Delayed heartbeats of an ended upstream arrive
     // together.
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -137,7 +137,7 @@
     return std::max(stored.coldRemaining - elapsed, milliseconds(0));
 }
 
-bool fleet_control::needsReplication(const upstream_incarnation &incarnation, instant /*now*/) const
+bool fleet_control::needsReplication(const upstream_incarnation &incarnation, instant now) const
 {
     const auto known = m_state.upstreams().find(incarnation.id);
     if (known == m_state.upstreams().end())
@@ -158,7 +158,8 @@
     return previous.silent || incarnation.address != previous.address
         || incarnation.slots != previous.slots || incarnation.service != previous.service
         || incarnation.zone != previous.zone
-        || incarnation.coldRemaining > previous.coldRemaining + m_options.coldChangeThreshold
+        || incarnation.coldRemaining
+        > expectedColdTime(previous, now) + m_options.coldChangeThreshold
         || (incarnation.coldRemaining == milliseconds(0)
             && previous.coldRemaining > milliseconds(0));
 }
--- a/tests/fleet/fleet_control_test.cpp
+++ b/tests/fleet/fleet_control_test.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(claimOfAnAddressDoesNotHideItsUpstream);
     CPPUNIT_TEST(heartbeatThatContradictsTheStateIsNotAcknowledged);
     CPPUNIT_TEST(delayedWithdrawalDoesNotEndLaterIncarnation);
+    CPPUNIT_TEST(renewedColdTimeIsReplicated);
     CPPUNIT_TEST(commandsAreRejectedWithoutLeaderLease);
     CPPUNIT_TEST(pendingCommandIsUnknownAfterLossOfLeadership);
     CPPUNIT_TEST(entryIsRemovedAfterHeartbeatTimeout);
@@ -303,6 +304,46 @@
         }
     }
 
+    // Guards against overloading an upstream that becomes cold again before it was warm: its
+    // remaining time is less than at its last report, but more than what is left of that.
+    void renewedColdTimeIsReplicated()
+    {
+        struct cold_case
+        {
+            std::string name;
+            milliseconds elapsed;
+            milliseconds reported;
+            bool isReplicated;
+        };
+        const std::vector<cold_case> cases = {
+            {"the time runs down", milliseconds(1'500), milliseconds(1'500), false},
+            {"a heartbeat with a longer way", milliseconds(1'500), milliseconds(1'700), false},
+            {"cold again, less than reported first", milliseconds(3'000), milliseconds(2'000),
+             true},
+            {"cold again, before the first time is over", milliseconds(2'000), milliseconds(2'900),
+             true},
+            {"warm", milliseconds(3'000), milliseconds(0), true},
+        };
+        for (const cold_case &each : cases) {
+            leader_harness leader;
+            upstream_incarnation cold = makeIncarnation("u", 100, 1);
+            cold.coldRemaining = milliseconds(3'000);
+            leader.announce(cold);
+            leader.commitAll();
+            leader.now += each.elapsed;
+            cold.sequence = 2;
+            cold.coldRemaining = each.reported;
+            CPPUNIT_ASSERT_MESSAGE(
+                each.name, leader.control.isUnchanged(cold, leader.now) == !each.isReplicated);
+            leader.announce(cold);
+            leader.commitAll();
+            const upstream_incarnation &stored =
+                leader.control.state().upstreams().at(upstream_id("u"));
+            CPPUNIT_ASSERT_MESSAGE(each.name,
+                                   (stored.coldRemaining == each.reported) == each.isReplicated);
+        }
+    }
+
     // Guards against a partitioned leader that accepts commands after its lease has expired.
     void commandsAreRejectedWithoutLeaderLease()
     {
