Bound the bytes of all responses that an entry holds

An operator of a system like ours reported a machine that ran out of memory because a faulty backend sent bytes without end. Each response was bounded here (8 MiB, endless_response_test), but not their sum: on a machine of 260 MB some thirty unfinished responses end the process, and the requests of all other clients with it.

Change: `byte_budget` counts the bodies that are being read or sent to clients. An exchange that does not fit is aborted like one that is too long. Bodies up to 16 KiB are not counted, so that ordinary responses are read meanwhile. The response is moved to the client's response instead of being copied.

--- a/include/kingcuptiller/relay/request_relay.h
+++ b/include/kingcuptiller/relay/request_relay.h
@@ -40,6 +40,9 @@
     // Limit of a response body in bytes on the wire, chunk framing included. Reading from an
     // upstream that sends more is stopped.
     std::uint64_t maximumResponseBytes = 8'388'608;
+    // Limit of all response bodies together that are being read or sent to clients. An exchange
+    // with a response that does not fit is aborted.
+    std::uint64_t maximumHeldResponseBytes = 67'108'864;
     // Returns the current time.
     std::function<instant()> now;
 };
@@ -104,7 +107,7 @@
                          const upstream_incarnation &incarnation) const;
     [[nodiscard]] upstream_attempt_outcome
     classifyAttempt(const upstream_attempt_result &result) const;
-    [[nodiscard]] relay_response makeClientResponse(const relay_response &response) const;
+    [[nodiscard]] relay_response makeClientResponse(relay_response response) const;
     // Records the end of a request that has not run and returns a 503 response, with Retry-After
     // when `retryAfter` is positive.
     [[nodiscard]] relay_response refuseRequest(request_progress &progress, std::string_view reason,
@@ -135,6 +138,8 @@
     upstream_choice m_upstreamChoice;
     shared_retry_budget m_retryBudget;
     upstream_connection_pool m_idleConnections;
+    byte_budget m_heldResponseBytes;
+    counter &m_heldResponseBytesGauge;
     // Connections that have an exchange in progress. They are closed at `m_processEnd`.
     std::set<std::shared_ptr<upstream_connection>> m_connectionsAwaitingResponse;
     std::optional<instant> m_processEnd;
--- a/include/kingcuptiller/relay/traffic_server.h
+++ b/include/kingcuptiller/relay/traffic_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kingcuptiller/fleet/traffic_configuration.h"
+#include "kingcuptiller/relay/byte_budget.h"
 #include "kingcuptiller/relay/http_types.h"
 
 #include <boost/asio/io_context.hpp>
@@ -12,6 +13,7 @@
 #include <memory>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace kingcuptiller {
 
@@ -38,11 +40,17 @@
     void setDisconnectCallback(std::function<void()> callback) { m_callback = std::move(callback); }
     // Marks the client as disconnected and calls the callback, if any.
     void signalDisconnect();
+    // Keeps the holding until the response has been sent or the connection has ended.
+    void holdUntilResponded(byte_budget::holding heldBytes)
+    {
+        m_heldBytes.push_back(std::move(heldBytes));
+    }
 
 private:
     std::function<bool()> m_isClosed;
     bool m_disconnected = false;
     std::function<void()> m_callback;
+    std::vector<byte_budget::holding> m_heldBytes;
 };
 
 // Handles one request and returns its response. It must not throw. `request` and `client` are valid
--- a/include/kingcuptiller/relay/upstream_connections.h
+++ b/include/kingcuptiller/relay/upstream_connections.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kingcuptiller/relay/byte_budget.h"
 #include "kingcuptiller/relay/http_types.h"
 #include "kingcuptiller/values/identifiers.h"
 #include "kingcuptiller/values/time.h"
@@ -112,6 +113,8 @@
     completion_status status = completion_status::not_sent;
     // Set only when `status` is `answered`.
     relay_response response;
+    // The bytes of the response body; keep this object as long as the body.
+    byte_budget::holding heldBytes;
 };
 
 // Connects to `address` within `limit`. Returns whether the connection was established.
@@ -125,6 +128,9 @@
     milliseconds timeLimit{0};
     // Limit of the response body in bytes on the wire, chunk framing included.
     std::uint64_t responseBytes = 0;
+    // Limit of the response bodies of all exchanges together; nullptr for none. Short bodies are
+    // not counted, so that they are read even while faulty upstreams use up the budget.
+    const byte_budget *heldBytes = nullptr;
 };
 
 // Sends `request` once on an open connection and reads the response to it.
--- a/include/kingcuptiller/settings/node_settings.h
+++ b/include/kingcuptiller/settings/node_settings.h
@@ -4,6 +4,7 @@
 #include "kingcuptiller/values/identifiers.h"
 #include "kingcuptiller/values/time.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -38,6 +39,8 @@
     // Control hosts only.
     std::string dataFolder;
 
+    // The memory that the process may use; the platform ends a process that uses more.
+    std::uint64_t memoryBytes = std::uint64_t{256} * 1024 * 1024;
     // The time between SIGTERM and the end of the process at the latest.
     milliseconds shutdownLimit{6'000};
     // How long clients may keep an answer of the directory.
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -29,6 +29,8 @@
 constexpr milliseconds shutdownReserve{300};
 constexpr milliseconds lastAnswersTime{150};
 constexpr milliseconds leavingCheck{50};
+// Response bodies take at most this part of the memory of the process.
+constexpr std::uint64_t heldResponsesDivisor = 4;
 
 relay_options relayOptions(const node_settings &settings, const entry_platform &platform)
 {
@@ -40,6 +42,7 @@
     options.choice.shift = {settings.largestShift, settings.shiftWindow};
     options.choice.entrySeed = XXH3_64bits(settings.name.data(), settings.name.size());
     options.retryBudget = {settings.retryShare, settings.retrySlack, settings.retryWindow};
+    options.maximumHeldResponseBytes = settings.memoryBytes / heldResponsesDivisor;
     options.now = readInstant;
     return options;
 }
--- a/src/relay/request_outcomes.cpp
+++ b/src/relay/request_outcomes.cpp
@@ -91,20 +91,18 @@
     return load;
 }
 
-relay_response request_relay::makeClientResponse(const relay_response &response) const
+relay_response request_relay::makeClientResponse(relay_response response) const
 {
     // The upstream did not state that it has not run the request, so a status that implies this is
     // replaced by 502.
     if (impliesNotRun(response.result()))
         return makeTextResponse(http::status::bad_gateway, "the upstream failed\n");
-    relay_response clientResponse = response;
-    eraseConnectionHeaders(clientResponse);
-    clientResponse.version(11);
-    if (clientResponse.result() != http::status::no_content
-        && clientResponse.result() != http::status::not_modified
-        && !clientResponse.has_content_length())
-        clientResponse.content_length(clientResponse.body().size());
-    return clientResponse;
+    eraseConnectionHeaders(response);
+    response.version(11);
+    if (response.result() != http::status::no_content
+        && response.result() != http::status::not_modified && !response.has_content_length())
+        response.content_length(response.body().size());
+    return response;
 }
 
 relay_response request_relay::refuseRequest(request_progress &progress, std::string_view reason,
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -63,6 +63,8 @@
     , m_regionFlows(counters)
     , m_upstreamChoice(m_options.choice)
     , m_retryBudget(m_options.retryBudget)
+    , m_heldResponseBytes(m_options.maximumHeldResponseBytes)
+    , m_heldResponseBytesGauge(counters.get("kct_relay_held_response_bytes"))
     , m_processEndTimer(context)
 {
 }
@@ -88,6 +90,7 @@
 void request_relay::runPeriodicTasks()
 {
     m_idleConnections.closeUnusable(m_options.now());
+    m_heldResponseBytesGauge.set(m_heldResponseBytes.heldBytes());
     for (const region_request_counts &flow : m_regionFlows.take()) {
         log_line(log_level::info, "relay", "region_flows")
             .field("service", flow.service.text())
@@ -238,6 +241,7 @@
     // retry, because nothing was sent.
     ++(outcome == upstream_attempt_outcome::unreachable ? progress.failedConnections
                                                         : progress.sentAttempts);
+    progress.client.holdUntilResponded(std::move(result.heldBytes));
     const std::optional<upstream_load_report> load =
         recordAttemptResult(upstream, result, outcome, attempt, sentAt);
     progress.lastAttempt = {upstream, attempt.cacheState,
@@ -253,15 +257,15 @@
                                      progress.request.body().size() + result.response.body().size()
                                          + headerBytes);
         recordRequestEnd(progress, "answered", "");
-        co_return makeClientResponse(result.response);
+        co_return makeClientResponse(std::move(result.response));
     case upstream_attempt_outcome::failed:
         if (progress.route.idempotent && progress.sentAttempts < progress.route.maximumAttempts) {
             progress.mayHaveRun = true;
-            progress.failureResponse = makeClientResponse(result.response);
+            progress.failureResponse = makeClientResponse(std::move(result.response));
             co_return std::nullopt;
         }
         recordRequestEnd(progress, "failed", "upstream_failed");
-        co_return makeClientResponse(result.response);
+        co_return makeClientResponse(std::move(result.response));
     case upstream_attempt_outcome::unreachable:
     case upstream_attempt_outcome::shed:
     case upstream_attempt_outcome::replaced:
@@ -326,7 +330,8 @@
     // g++ 12 destroys temporaries in a co_await expression twice, so the arguments are named.
     const std::shared_ptr<const relay_request> request =
         makeForwardedRequest(progress, upstream.incarnation);
-    const http_exchange_limits limits{remaining, m_options.maximumResponseBytes};
+    const http_exchange_limits limits{remaining, m_options.maximumResponseBytes,
+                                      &m_heldResponseBytes};
     m_connectionsAwaitingResponse.insert(connection);
     upstream_attempt_result result =
         co_await exchangeHttp(m_context, connection, request, m_options.headers, limits);
--- a/src/relay/upstream_connections.cpp
+++ b/src/relay/upstream_connections.cpp
@@ -34,6 +34,8 @@
 constexpr std::uint32_t maximumHeaderBytes = 16'384;
 // Responses to other requests and interim responses that may precede the expected response.
 constexpr int maximumDiscardedResponses = 3;
+// Response bodies up to this size are read without regard to the budget of held bytes.
+constexpr std::uint64_t uncountedBodyBytes = 16'384;
 // TCP_USER_TIMEOUT: a connection is closed when sent data is not acknowledged for this long.
 constexpr int tcpUserTimeoutMs = 2'000;
 
@@ -110,11 +112,12 @@
                                       : echoedId->value() == request[headers.requestId];
 }
 
-// Reads one response. The limit applies to the bytes on the wire, because chunk framing may be far
-// larger than the body.
+// Reads one response. `maximumBodyBytes` applies to the bytes on the wire, because chunk framing
+// may be far larger than the body. `heldBytes` is resized to the size of the body.
 asio::awaitable<error_code> readResponse(std::shared_ptr<upstream_connection> connection,
                                          http::response_parser<http::string_body> &parser,
-                                         std::uint64_t maximumBodyBytes)
+                                         std::uint64_t maximumBodyBytes,
+                                         byte_budget::holding &heldBytes)
 {
     error_code errorCode;
     co_await http::async_read_header(connection->socket, connection->buffer, parser,
@@ -129,7 +132,9 @@
     while (!errorCode && !parser.is_done()) {
         bodyBytes += co_await http::async_read_some(connection->socket, connection->buffer, parser,
                                                     redirectErrorTo(errorCode));
-        if (!errorCode && bodyBytes > maximumBodyBytes)
+        const std::uint64_t size = parser.get().body().size();
+        const bool fits = heldBytes.resize(size > uncountedBodyBytes ? size : 0);
+        if (!errorCode && (bodyBytes > maximumBodyBytes || !fits))
             errorCode = http::error::body_limit;
     }
     co_return errorCode;
@@ -212,6 +217,8 @@
                       [connection, request, requestWritten](error_code errorCode, std::size_t) {
                           *requestWritten = !errorCode;
                       });
+    if (limits.heldBytes != nullptr)
+        result.heldBytes = limits.heldBytes->open();
     error_code errorCode;
     for (int previousResponses = 0; previousResponses <= maximumDiscardedResponses && !errorCode;
          ++previousResponses) {
@@ -219,7 +226,8 @@
         parser.header_limit(maximumHeaderBytes);
         parser.body_limit(limits.responseBytes);
         parser.skip(request->method() == http::verb::head);
-        errorCode = co_await readResponse(connection, parser, limits.responseBytes);
+        errorCode =
+            co_await readResponse(connection, parser, limits.responseBytes, result.heldBytes);
         if (errorCode || parser.get().result_int() < 200)
             continue;
         if (belongsToRequest(parser.get(), *request, headers, connection->carriedEarlierRequest)) {
@@ -234,6 +242,7 @@
     }
     if (result.status == upstream_attempt_result::completion_status::answered)
         co_return result;
+    result.heldBytes = {};
     if (timeout.expired())
         result.status = upstream_attempt_result::completion_status::timed_out;
     // Closed explicitly, because a write handler that is pending while the upstream does not read
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -40,10 +40,12 @@
 
     // The relay tries the upstreams in the given order. `attempts` is the maximum number of
     // attempts of each route.
-    explicit relay_fixture(const std::vector<std::uint16_t> &upstreamPorts,
-                           std::uint64_t bodyLimit = 1'000, std::uint32_t attempts = 2)
+    explicit relay_fixture(
+        const std::vector<std::uint16_t> &upstreamPorts, std::uint64_t bodyLimit = 1'000,
+        std::uint32_t attempts = 2,
+        std::uint64_t heldResponseBytes = relay_options().maximumHeldResponseBytes)
         : m_work(asio::make_work_guard(m_context))
-        , m_relay(m_context, options(), m_counters)
+        , m_relay(m_context, options(heldResponseBytes), m_counters)
         , m_server(
               m_context, parseTcpEndpoint("127.0.0.1:0"),
               [this](const relay_request &request, client_disconnect_signal &client) {
@@ -139,9 +141,10 @@
         return view;
     }
 
-    static relay_options options()
+    static relay_options options(std::uint64_t heldResponseBytes)
     {
         relay_options result;
+        result.maximumHeldResponseBytes = heldResponseBytes;
         result.headers = {"X-Id",     "X-Time", "X-Object", "X-Upstream",  "X-Seal",
                           "X-NotRun", "X-Load", "X-Cold",   "Retry-After", "X-Leaving"};
         result.choice.region = region_name("r");
