Let entries know of each other before they serve

Cause, as far as it is shown: an entry takes its part of the rate of a cold upstream and of the retry budget by the number of entries in its view, and was registered only when it served. All entries begin to serve when the first configuration arrives, and again after a loss of power, so that each takes itself for one of few. The same numbers decide the first shares of the regions.

Change: an entry is registered as `joining` as soon as it reaches a control host. One that leaves or falls silent is `absent` and stays known for 60 s. Only those that serve are named to clients, those that are joining or serving count for the shares of regions, and all count for what entries divide. An entry that does not serve no longer makes a call to the leader twice a second.

--- a/include/kingcuptiller/fleet/fleet_control.h
+++ b/include/kingcuptiller/fleet/fleet_control.h
@@ -31,8 +31,11 @@
     // because each entry observes this by itself.
     milliseconds upstreamHeartbeatTimeout{12'000};
     // An entry (a server that forwards client requests to upstreams) without a heartbeat for this
-    // long is removed from the state, so that clients are no longer sent to it.
+    // long is marked as absent, so that clients are no longer sent to it.
     milliseconds entryHeartbeatTimeout{2'500};
+    // An absent entry is removed after this time. Until then the others leave it its part of what
+    // all may send together, because it may be about to return.
+    milliseconds entryRemovalTimeout{60'000};
     // Time after which a proposed command that has not been committed is reported to its caller as
     // `change_outcome_unknown`.
     milliseconds commitTimeout{2'500};
@@ -123,12 +126,9 @@
     // if another incarnation is stored: the message may be a delayed one of an earlier incarnation.
     void withdraw(const upstream_id &id, std::optional<std::int64_t> startTimeMs, instant now,
                   const command_result_callback &done);
-    // Handles a heartbeat of an entry that accepts client requests. Adds the entry to the state if
-    // it is not there.
-    void recordEntryHeartbeat(const serving_entry &entry, instant now);
-    // Handles the message of an entry that it accepts no more client requests: removes it without
-    // waiting for the heartbeat timeout.
-    void removeEntry(const endpoint_address &address, instant now);
+    // Handles a heartbeat of an entry, in which it reports its state. Stores the entry if it has
+    // changed.
+    void recordEntryHeartbeat(const fleet_entry &entry, instant now);
 
     // Checks the timeouts of pending commands, upstreams and entries.
     void tick(instant now);
@@ -176,15 +176,15 @@
     {
         // Number of the proposal, so that only the result of this proposal removes the record.
         std::uint64_t proposalNumber = 0;
-        // The added entry; nothing if the entry is removed.
-        std::optional<serving_entry> entry;
+        // The stored entry; nothing if the entry is removed.
+        std::optional<fleet_entry> entry;
     };
 
     // Return whether the log has taken the command.
     bool propose(const fleet_command &command, instant now, const command_result_callback &done);
     bool proposeRegistration(const registration_command &command, instant now);
     // The entry as it will be if all pending commands are committed.
-    [[nodiscard]] std::optional<serving_entry> expectedEntry(const endpoint_address &address) const;
+    [[nodiscard]] std::optional<fleet_entry> expectedEntry(const endpoint_address &address) const;
     // Whether the heartbeat is not outdated and changes the stored incarnation in more than its
     // sequence number. A change of the remaining cold time counts only if the time exceeds the
     // expected one by more than `coldChangeThreshold` or decreases to 0.
@@ -200,6 +200,8 @@
     [[nodiscard]] bool continuesToAnnounce(const upstream_incarnation &incarnation, instant now);
     // Whether the heartbeat belongs to an incarnation that a later one has replaced, or seems to.
     [[nodiscard]] bool isSuperseded(const upstream_incarnation &incarnation, instant now);
+    // Adds to `command` the entries whose timeouts have passed.
+    void addSilentEntries(registration_command &command, instant now) const;
     // The upstreams whose heartbeat timeout has passed, as they are to be stored.
     [[nodiscard]] std::vector<upstream_incarnation> newlySilentUpstreams(instant now) const;
     void recordColdReports(const registration_command &command, instant now);
--- a/include/kingcuptiller/fleet/fleet_state.h
+++ b/include/kingcuptiller/fleet/fleet_state.h
@@ -15,7 +15,7 @@
 #include <vector>
 
 // State that the control hosts replicate among themselves: the operators' configuration, evacuated
-// availability zones, the registered upstreams, and the entries that accept client requests.
+// availability zones, the registered upstreams, and the entries.
 
 namespace kingcuptiller {
 
@@ -58,15 +58,27 @@
     [[nodiscard]] bool isOlderThan(const upstream_incarnation &other) const;
 };
 
-// An entry (a server that forwards client requests to upstreams) that accepts requests.
-struct serving_entry
+enum class entry_state {
+    // Runs, but has no configuration yet and accepts no requests.
+    joining,
+    // Accepts requests.
+    serving,
+    // Accepts no requests any more, or sends no heartbeats. It may return at any moment.
+    absent,
+};
+
+// An entry (a server that forwards client requests to upstreams). Entries divide what all of them
+// may send together, for example to an upstream that has just started, by their number. So they
+// have to know of each other before they serve and while one of them is started again.
+struct fleet_entry
 {
     // Address to which clients connect.
     endpoint_address address;
     region_name region;
     zone_name zone;
+    entry_state state = entry_state::serving;
 
-    auto operator<=>(const serving_entry &) const = default;
+    auto operator<=>(const fleet_entry &) const = default;
 };
 
 // Replaces the configuration by a new version. `base` is the version that the operator changed to
@@ -100,7 +112,7 @@
 struct registration_command
 {
     std::vector<upstream_incarnation> upstreams;
-    std::vector<serving_entry> addedEntries;
+    std::vector<fleet_entry> addedEntries;
     std::vector<endpoint_address> removedEntries;
 
     bool operator==(const registration_command &) const = default;
@@ -144,7 +156,7 @@
     {
         return m_upstreams;
     }
-    [[nodiscard]] const std::map<endpoint_address, serving_entry> &entries() const
+    [[nodiscard]] const std::map<endpoint_address, fleet_entry> &entries() const
     {
         return m_entries;
     }
@@ -174,13 +186,13 @@
     std::set<zone_name> m_evacuated;
     std::map<zone_name, std::uint64_t> m_evacuationOrders;
     std::map<upstream_id, upstream_incarnation> m_upstreams;
-    std::map<endpoint_address, serving_entry> m_entries;
+    std::map<endpoint_address, fleet_entry> m_entries;
 };
 
 // JSON encodings. The decoding functions throw `error` with `message_malformed`.
 [[nodiscard]] std::string encodeUpstreamIncarnation(const upstream_incarnation &incarnation);
 [[nodiscard]] upstream_incarnation decodeUpstreamIncarnation(std::string_view text);
-[[nodiscard]] std::string encodeServingEntry(const serving_entry &entry);
-[[nodiscard]] serving_entry decodeServingEntry(std::string_view text);
+[[nodiscard]] std::string encodeFleetEntry(const fleet_entry &entry);
+[[nodiscard]] fleet_entry decodeFleetEntry(std::string_view text);
 
 } // namespace kingcuptiller
--- a/include/kingcuptiller/fleet/fleet_view.h
+++ b/include/kingcuptiller/fleet/fleet_view.h
@@ -32,7 +32,7 @@
     std::set<zone_name> evacuated;
     // Upstreams in the state `serving`, in order of their ids.
     std::vector<upstream_incarnation> upstreams;
-    std::vector<serving_entry> entries;
+    std::vector<fleet_entry> entries;
     // All control hosts. The id of a host is the IP address at which it is reached.
     std::vector<host_id> controlHosts;
 
@@ -54,7 +54,7 @@
     // Changed upstreams in any state. `applyDifference` removes those that are not `serving`.
     std::vector<upstream_incarnation> upstreams;
     // All entries; nothing if none has changed.
-    std::optional<std::vector<serving_entry>> entries;
+    std::optional<std::vector<fleet_entry>> entries;
     // All control hosts, as in `fleet_view`.
     std::vector<host_id> controlHosts;
 
--- a/include/kingcuptiller/node/control_node.h
+++ b/include/kingcuptiller/node/control_node.h
@@ -180,7 +180,7 @@
     void receive(const std::shared_ptr<frame_connection> &connection, const frame &received);
     void noteIntroduction(const std::string &body);
     void notePresence(const std::shared_ptr<frame_connection> &connection, const std::string &body);
-    void passOnPresence(const std::string &entry, bool serving);
+    void passOnPresence(const std::string &entry);
     void sendViews();
     void sendView(entry_feed &feed);
 
--- a/include/kingcuptiller/node/entry_node.h
+++ b/include/kingcuptiller/node/entry_node.h
@@ -26,9 +26,9 @@
 };
 
 // The entries that a client in a zone should use: those of its zone, else of its region, else all.
-[[nodiscard]] std::vector<serving_entry> nearestEntries(const std::vector<serving_entry> &entries,
-                                                        const region_name &region,
-                                                        const zone_name &zone);
+[[nodiscard]] std::vector<fleet_entry> nearestEntries(const std::vector<fleet_entry> &entries,
+                                                      const region_name &region,
+                                                      const zone_name &zone);
 
 // An entry: the server for clients, the relay, and the feed from control. Traffic runs in the
 // thread that runs `context`; the feed, which decodes configurations, in a thread of its own.
@@ -44,7 +44,7 @@
 
     // Whether clients may be sent here.
     [[nodiscard]] bool ready() const { return m_relay.ready() && !m_leaving; }
-    [[nodiscard]] const std::vector<serving_entry> &entries() const { return m_view.entries; }
+    [[nodiscard]] const std::vector<fleet_entry> &entries() const { return m_view.entries; }
 
     // Ends the entry without cutting a request: it is taken off the directory, then takes no new
     // connections, and `done` is called when nothing is left to answer or the time is over.
--- a/include/kingcuptiller/node/fleet_feed.h
+++ b/include/kingcuptiller/node/fleet_feed.h
@@ -19,7 +19,7 @@
 {
     std::vector<host_id> seeds;
     unsigned short controlPort = 0;
-    serving_entry entry;
+    fleet_entry entry;
     // How often the entry tells that it is there.
     milliseconds presenceInterval{500};
     // When the control host has said nothing for this long, the others are asked. Longer than a
@@ -30,7 +30,7 @@
     std::function<instant()> now;
 };
 
-// An entry's connection to the control hosts: it tells one of them that the entry serves and
+// An entry's connection to the control hosts: it reports the entry's state to one of them and
 // receives views of the fleet. While it has none, or that one keeps silent, it asks all that it
 // knows, and takes the first that says it is current: a frozen host still accepts connections. The
 // last view stays in force meanwhile.
@@ -40,8 +40,8 @@
     fleet_feed(boost::asio::io_context &context, fleet_feed_options options,
                std::function<void(fleet_view)> onView);
 
-    // The entry takes requests from now on, or no longer.
-    void setServing(bool serving);
+    // Reports the state of the entry; it is `joining` at first.
+    void setState(entry_state state);
 
 private:
     // A host that is asked whether it is current; without a connection while one is being made.
@@ -69,7 +69,6 @@
     host_id m_host;
     instant m_heard;
     instant m_presenceDue;
-    bool m_serving = false;
     fleet_view m_view;
     boost::asio::steady_timer m_tick;
 };
--- a/src/fleet/fleet_codec.cpp
+++ b/src/fleet/fleet_codec.cpp
@@ -65,19 +65,29 @@
     return incarnation;
 }
 
-Json::Value toJson(const serving_entry &entry)
+Json::Value toJson(const fleet_entry &entry)
 {
     Json::Value object;
     object["address"] = entry.address.text();
     object["region"] = entry.region.text();
     object["zone"] = entry.zone.text();
+    object["state"] = static_cast<int>(entry.state);
     return object;
 }
 
-serving_entry entryFromJson(const Json::Value &object)
+fleet_entry entryFromJson(const Json::Value &object)
 {
-    return {endpoint_address(stringField(object, "address")),
-            region_name(stringField(object, "region")), zone_name(stringField(object, "zone"))};
+    fleet_entry entry{endpoint_address(stringField(object, "address")),
+                      region_name(stringField(object, "region")),
+                      zone_name(stringField(object, "zone"))};
+    // Entries in snapshots and commands of earlier versions have no state; all of them serve.
+    if (!object.isMember("state"))
+        return entry;
+    const std::uint64_t state = unsignedField(object, "state");
+    if (state > static_cast<std::uint64_t>(entry_state::absent))
+        internal::reportMalformed("the field state of an entry is out of range");
+    entry.state = static_cast<entry_state>(state);
+    return entry;
 }
 
 template <typename Tag>
@@ -116,9 +126,9 @@
     return incarnations;
 }
 
-std::vector<serving_entry> entriesFromJson(const Json::Value &object, const char *field)
+std::vector<fleet_entry> entriesFromJson(const Json::Value &object, const char *field)
 {
-    std::vector<serving_entry> entries;
+    std::vector<fleet_entry> entries;
     for (const Json::Value &each : arrayField(object, field))
         entries.push_back(entryFromJson(each));
     return entries;
@@ -256,7 +266,7 @@
     state.m_evacuationOrders = evacuationOrdersFromJson(object);
     for (const upstream_incarnation &incarnation : incarnationsFromJson(object, "upstreams"))
         state.m_upstreams[incarnation.id] = incarnation;
-    for (const serving_entry &entry : entriesFromJson(object, "entries"))
+    for (const fleet_entry &entry : entriesFromJson(object, "entries"))
         state.m_entries[entry.address] = entry;
     *this = state;
 }
@@ -303,12 +313,12 @@
     return incarnationFromJson(internal::parseJsonObject(text));
 }
 
-std::string encodeServingEntry(const serving_entry &entry)
+std::string encodeFleetEntry(const fleet_entry &entry)
 {
     return internal::writeCompactJson(toJson(entry));
 }
 
-serving_entry decodeServingEntry(std::string_view text)
+fleet_entry decodeFleetEntry(std::string_view text)
 {
     return entryFromJson(internal::parseJsonObject(text));
 }
--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -18,6 +18,19 @@
     return {incarnation.id, incarnation.startTimeMs, incarnation.sequence};
 }
 
+const char *entryEvent(entry_state state)
+{
+    switch (state) {
+    case entry_state::joining:
+        return "entry_joining";
+    case entry_state::serving:
+        return "entry_joined";
+    case entry_state::absent:
+        break;
+    }
+    return "entry_left";
+}
+
 } // namespace
 
 fleet_control::fleet_control(const fleet_control_options &options,
@@ -214,7 +227,8 @@
     if (!m_leading)
         return;
     for (const endpoint_address &address : entries) {
-        // An entry whose removal is proposed is passed on by its host once that is applied there.
+        // An entry that was marked as absent meanwhile is passed on by its host once that is
+        // applied there.
         const auto known = m_entryLastHeartbeat.find(address);
         if (known != m_entryLastHeartbeat.end())
             known->second = now;
@@ -247,7 +261,7 @@
     announce(incarnation, now, done);
 }
 
-std::optional<serving_entry> fleet_control::expectedEntry(const endpoint_address &address) const
+std::optional<fleet_entry> fleet_control::expectedEntry(const endpoint_address &address) const
 {
     const auto pending = m_pendingEntryChanges.find(address);
     if (pending != m_pendingEntryChanges.end())
@@ -259,7 +273,7 @@
 bool fleet_control::proposeRegistration(const registration_command &command, instant now)
 {
     const std::uint64_t number = ++m_lastProposalNumber;
-    for (const serving_entry &entry : command.addedEntries)
+    for (const fleet_entry &entry : command.addedEntries)
         m_pendingEntryChanges[entry.address] = {number, entry};
     for (const endpoint_address &address : command.removedEntries)
         m_pendingEntryChanges[address] = {number, std::nullopt};
@@ -269,26 +283,31 @@
     });
 }
 
-void fleet_control::recordEntryHeartbeat(const serving_entry &entry, instant now)
+void fleet_control::recordEntryHeartbeat(const fleet_entry &entry, instant now)
 {
     if (!m_leading)
         return;
     m_entryLastHeartbeat[entry.address] = now;
     if (expectedEntry(entry.address) == entry)
         return;
-    log_line(log_level::info, "fleet", "entry_joined").field("entry", entry.address.text());
+    log_line(log_level::info, "fleet", entryEvent(entry.state))
+        .field("entry", entry.address.text());
     proposeRegistration({{}, {entry}, {}}, now);
 }
 
-void fleet_control::removeEntry(const endpoint_address &address, instant now)
+void fleet_control::addSilentEntries(registration_command &command, instant now) const
 {
-    if (!m_leading)
-        return;
-    m_entryLastHeartbeat.erase(address);
-    if (!expectedEntry(address))
-        return;
-    log_line(log_level::info, "fleet", "entry_left").field("entry", address.text());
-    proposeRegistration({{}, {}, {address}}, now);
+    for (const auto &[address, lastHeartbeat] : m_entryLastHeartbeat) {
+        const auto expected = expectedEntry(address);
+        if (!expected || now - lastHeartbeat < m_options.entryHeartbeatTimeout)
+            continue;
+        if (now - lastHeartbeat >= m_options.entryRemovalTimeout) {
+            command.removedEntries.push_back(address);
+        } else if (expected->state != entry_state::absent) {
+            command.addedEntries.push_back(*expected);
+            command.addedEntries.back().state = entry_state::absent;
+        }
+    }
 }
 
 std::vector<upstream_incarnation> fleet_control::newlySilentUpstreams(instant now) const
@@ -327,10 +346,7 @@
     });
     registration_command timeoutCommand;
     timeoutCommand.upstreams = newlySilentUpstreams(now);
-    for (const auto &[address, lastHeartbeat] : m_entryLastHeartbeat) {
-        if (now - lastHeartbeat >= m_options.entryHeartbeatTimeout)
-            timeoutCommand.removedEntries.push_back(address);
-    }
+    addSilentEntries(timeoutCommand, now);
     if (timeoutCommand == registration_command{} || !proposeRegistration(timeoutCommand, now))
         return;
     // Only now; a refused proposal is made again at the next tick.
@@ -339,9 +355,11 @@
         log_line(log_level::warning, "fleet", "upstream_silent")
             .field("upstream", incarnation.id.text());
     }
+    for (const fleet_entry &entry : timeoutCommand.addedEntries)
+        log_line(log_level::warning, "fleet", "entry_silent").field("entry", entry.address.text());
     for (const endpoint_address &address : timeoutCommand.removedEntries) {
         m_entryLastHeartbeat.erase(address);
-        log_line(log_level::warning, "fleet", "entry_silent").field("entry", address.text());
+        log_line(log_level::info, "fleet", "entry_removed").field("entry", address.text());
     }
 }
 
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -75,7 +75,7 @@
 {
     for (const upstream_incarnation &incarnation : command.upstreams)
         storeUpstream(incarnation);
-    for (const serving_entry &entry : command.addedEntries)
+    for (const fleet_entry &entry : command.addedEntries)
         m_entries[entry.address] = entry;
     for (const endpoint_address &address : command.removedEntries)
         m_entries.erase(address);
--- a/src/node/control_calls.cpp
+++ b/src/node/control_calls.cpp
@@ -134,10 +134,7 @@
                                              now);
         withCode(result_code::ok);
     } else if (text.operation == "entry") {
-        m_control->recordEntryHeartbeat(decodeServingEntry(text.body), now);
-        withCode(result_code::ok);
-    } else if (text.operation == "entry_gone") {
-        m_control->removeEntry(decodeServingEntry(text.body).address, now);
+        m_control->recordEntryHeartbeat(decodeFleetEntry(text.body), now);
         withCode(result_code::ok);
     } else if (text.operation == "read" && m_replica && m_replica->hasLease(now)) {
         done({result_code::ok, m_control->state().document()});
--- a/src/node/control_links.cpp
+++ b/src/node/control_links.cpp
@@ -200,7 +200,7 @@
     }
     const std::string entry = internal::stringField(object, "entry");
     if (!entry.empty())
-        passOnPresence(entry, internal::boolField(object, "serving"));
+        passOnPresence(entry);
     if (!m_current)
         connection->send(frame_kind::stale, {});
     else if (feed.appliedCommands == m_control->state().appliedCommands())
@@ -209,17 +209,17 @@
         sendView(feed);
 }
 
-void control_node::passOnPresence(const std::string &entry, bool serving)
+void control_node::passOnPresence(const std::string &entry)
 {
-    if (serving && m_current && !m_control->isLeading()) {
-        const serving_entry present = decodeServingEntry(entry);
+    if (m_current && !m_control->isLeading()) {
+        const fleet_entry present = decodeFleetEntry(entry);
         const auto known = m_control->state().entries().find(present.address);
         if (known != m_control->state().entries().end() && known->second == present) {
             m_presentEntries.insert(present.address);
             return;
         }
     }
-    passOn({serving ? "entry" : "entry_gone", entry}, [](const call_answer &) {});
+    passOn({"entry", entry}, [](const call_answer &) {});
 }
 
 void control_node::sendViews()
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -49,17 +49,20 @@
 
 } // namespace
 
-std::vector<serving_entry> nearestEntries(const std::vector<serving_entry> &entries,
-                                          const region_name &region, const zone_name &zone)
+std::vector<fleet_entry> nearestEntries(const std::vector<fleet_entry> &entries,
+                                        const region_name &region, const zone_name &zone)
 {
-    std::vector<serving_entry> result;
+    std::vector<fleet_entry> result;
     const auto take = [&](const auto &isNear) {
         if (result.empty())
-            std::copy_if(entries.begin(), entries.end(), std::back_inserter(result), isNear);
+            std::copy_if(entries.begin(), entries.end(), std::back_inserter(result),
+                         [&](const fleet_entry &entry) {
+                             return entry.state == entry_state::serving && isNear(entry);
+                         });
     };
-    take([&](const serving_entry &entry) { return entry.zone == zone; });
-    take([&](const serving_entry &entry) { return entry.region == region; });
-    take([](const serving_entry &) { return true; });
+    take([&](const fleet_entry &entry) { return entry.zone == zone; });
+    take([&](const fleet_entry &entry) { return entry.region == region; });
+    take([](const fleet_entry &) { return true; });
     return result;
 }
 
@@ -74,10 +77,11 @@
         , m_onView(std::move(onView))
         , m_work(asio::make_work_guard(m_context))
         , m_feed(m_context,
-                 fleet_feed_options{.seeds = settings.seeds,
-                                    .controlPort = settings.internalPort,
-                                    .entry = serving_entry{traffic, settings.region, settings.zone},
-                                    .now = readInstant},
+                 fleet_feed_options{
+                     .seeds = settings.seeds,
+                     .controlPort = settings.internalPort,
+                     .entry = {traffic, settings.region, settings.zone, entry_state::joining},
+                     .now = readInstant},
                  [this](const fleet_view &view) { receive(view); })
         , m_thread([this] { m_context.run(); })
     {
@@ -91,9 +95,9 @@
     feed_thread(const feed_thread &) = delete;
     feed_thread &operator=(const feed_thread &) = delete;
 
-    void setServing(bool serving)
+    void setState(entry_state state)
     {
-        asio::post(m_context, [this, serving] { m_feed.setServing(serving); });
+        asio::post(m_context, [this, state] { m_feed.setState(state); });
     }
 
 private:
@@ -168,7 +172,7 @@
             .field("routes", static_cast<std::uint64_t>(configuration->routes.size()));
     if (!wasReady && ready()) {
         log_line(log_level::info, "entry", "serves_requests").field("name", m_settings.name);
-        m_feed->setServing(true);
+        m_feed->setState(entry_state::serving);
     }
 }
 
@@ -188,7 +192,7 @@
     if (std::exchange(m_leaving, true))
         return;
     log_line(log_level::info, "entry", "leaves").field("name", m_settings.name);
-    m_feed->setServing(false);
+    m_feed->setState(entry_state::absent);
     const instant until = readInstant() + m_settings.shutdownLimit - shutdownReserve;
     m_relay.setProcessEnd(until - lastAnswersTime);
     const auto accepting = milliseconds(static_cast<std::int64_t>(
--- a/src/node/fleet_feed.cpp
+++ b/src/node/fleet_feed.cpp
@@ -29,9 +29,9 @@
     scheduleTick();
 }
 
-void fleet_feed::setServing(bool serving)
+void fleet_feed::setState(entry_state state)
 {
-    if (std::exchange(m_serving, serving) != serving)
+    if (std::exchange(m_options.entry.state, state) != state)
         sendPresence();
 }
 
@@ -155,8 +155,7 @@
     Json::Value object;
     object["version"] = Json::UInt64(m_view.version.number());
     object["commands"] = Json::UInt64(m_view.appliedCommands);
-    object["serving"] = m_serving;
-    object["entry"] = encodeServingEntry(m_options.entry);
+    object["entry"] = encodeFleetEntry(m_options.entry);
     m_connection->send(frame_kind::presence, internal::writeCompactJson(object));
 }
 
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -112,7 +112,9 @@
     m_entryCount = std::max<std::size_t>(m_entryCount, view.entries.size());
     m_entriesByRegion.clear();
     m_entriesInZone = 0;
-    for (const serving_entry &entry : view.entries) {
+    for (const fleet_entry &entry : view.entries) {
+        if (entry.state == entry_state::absent)
+            continue;
         m_entriesByRegion[entry.region] += 1;
         m_entriesInZone += entry.zone == m_settings.zone ? 1 : 0;
     }
--- a/tests/node/entry_node_test.cpp
+++ b/tests/node/entry_node_test.cpp
@@ -168,6 +168,7 @@
 {
     CPPUNIT_TEST_SUITE(entry_node_test);
     CPPUNIT_TEST(requestsAroundAPlannedStopAreAllAnswered);
+    CPPUNIT_TEST(clientsAreSentToServingEntriesOnly);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -193,6 +194,23 @@
                                          world.upstream.requests());
         }
     }
+
+    // Guards against sending clients to entries that do not serve yet or no longer.
+    void clientsAreSentToServingEntriesOnly()
+    {
+        const region_name region("r");
+        const auto entry = [&](const std::string &address, const std::string &zone,
+                               entry_state state) {
+            return fleet_entry{endpoint_address(address), region, zone_name(zone), state};
+        };
+        const std::vector<fleet_entry> entries = {
+            entry("10.0.0.1:80", "a", entry_state::joining),
+            entry("10.0.0.2:80", "a", entry_state::absent),
+            entry("10.0.0.3:80", "b", entry_state::serving),
+        };
+        CPPUNIT_ASSERT(nearestEntries(entries, region, zone_name("a"))
+                       == std::vector<fleet_entry>{entries.back()});
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(entry_node_test);
--- a/tests/relay/upstream_choice_test.cpp
+++ b/tests/relay/upstream_choice_test.cpp
@@ -324,8 +324,16 @@
             CPPUNIT_ASSERT_MESSAGE(incarnation.id.text(), sent[incarnation.id.text()] <= 5);
     }
 
-    // Guards against all entries sending their first request to a cold upstream at once.
+    // Guards against all entries sending their first request to a cold upstream at once, and
+    // against entries that use the part of others which are about to serve or to return.
     void manyEntriesStayWithinTheRateOfAColdUpstream()
+    {
+        for (const entry_state others :
+             {entry_state::serving, entry_state::joining, entry_state::absent})
+            checkRateOfColdUpstream(others);
+    }
+
+    static void checkRateOfColdUpstream(entry_state others)
     {
         constexpr int entries = 31;
         constexpr double coldRequestsPerSecond = 5.9;
@@ -335,6 +343,9 @@
         const route_table routes(configuration);
         choice_fixture fixture;
         fixture.view.entries.resize(entries);
+        for (auto entry = fixture.view.entries.begin() + 1; entry != fixture.view.entries.end();
+             ++entry)
+            entry->state = others;
         fixture.view.upstreams.resize(1);
         fixture.view.upstreams.front().coldRemaining = milliseconds(3'000);
         int sent = 0;
