Forget the upstreams that ended first, not those that started first

Cause: of the records of ended upstreams the 500 that had started last were kept, so one that had lived longer than 500 younger ones was forgotten in the command that recorded its end, and its last heartbeat, two seconds late, registered it again.

--- a/include/kingcuptiller/fleet/fleet_state.h
+++ b/include/kingcuptiller/fleet/fleet_state.h
@@ -24,8 +24,9 @@
     serving,
     // Completes its current requests and accepts no new ones.
     draining,
-    // Has ended. 500 such records are kept, or two for each other upstream if that is more, so that
-    // a delayed heartbeat of an ended incarnation does not register the upstream again.
+    // Has ended. The 500 latest such records are kept, or two for each other upstream if that is
+    // more, so that a delayed heartbeat of an ended incarnation does not register the upstream
+    // again.
     terminated,
 };
 
@@ -176,6 +177,8 @@
     // Stores `incarnation`, unless the stored one started later, or is the same one in a more
     // advanced state.
     void storeUpstream(const upstream_incarnation &incarnation);
+    // Drops the upstreams that were terminated first, if there are too many.
+    void dropTerminatedUpstreams();
 
     std::uint64_t m_appliedCommands = 0;
     revision_number m_version;
@@ -186,6 +189,8 @@
     std::set<zone_name> m_evacuated;
     std::map<zone_name, std::uint64_t> m_evacuationOrders;
     std::map<upstream_id, upstream_incarnation> m_upstreams;
+    // The number of the command that terminated each terminated upstream.
+    std::map<upstream_id, std::uint64_t> m_terminatedAt;
     std::map<endpoint_address, fleet_entry> m_entries;
 };
 
--- a/src/fleet/fleet_codec.cpp
+++ b/src/fleet/fleet_codec.cpp
@@ -145,18 +145,19 @@
     return revision_number(number);
 }
 
-// Snapshots of earlier versions have no such field.
-std::map<zone_name, std::uint64_t> evacuationOrdersFromJson(const Json::Value &snapshot)
+// A field of a snapshot that snapshots of earlier versions do not have.
+template <typename Name>
+std::map<Name, std::uint64_t> numbersFromJson(const Json::Value &snapshot, const char *field)
 {
-    std::map<zone_name, std::uint64_t> orders;
-    if (!snapshot.isMember("evacuationOrders"))
-        return orders;
-    const Json::Value &object = internal::field(snapshot, "evacuationOrders");
+    std::map<Name, std::uint64_t> numbers;
+    if (!snapshot.isMember(field))
+        return numbers;
+    const Json::Value &object = internal::field(snapshot, field);
     if (!object.isObject())
-        internal::reportMalformed("the field evacuationOrders is not an object");
-    for (const std::string &zone : object.getMemberNames())
-        orders[zone_name(zone)] = unsignedField(object, zone.c_str());
-    return orders;
+        internal::reportMalformed(std::string("the field ") + field + " is not an object");
+    for (const std::string &name : object.getMemberNames())
+        numbers[Name(name)] = unsignedField(object, name.c_str());
+    return numbers;
 }
 
 Json::Value toJson(const configure_command &command)
@@ -242,6 +243,10 @@
     for (const auto &[id, incarnation] : m_upstreams)
         upstreams.append(toJson(incarnation));
     object["upstreams"] = upstreams;
+    Json::Value terminated(Json::objectValue);
+    for (const auto &[id, command] : m_terminatedAt)
+        terminated[id.text()] = Json::UInt64(command);
+    object["terminatedAt"] = terminated;
     Json::Value entries(Json::arrayValue);
     for (const auto &[address, entry] : m_entries)
         entries.append(toJson(entry));
@@ -263,9 +268,15 @@
         state.m_acceptedDigests[versionFromKey(version)] = stringField(accepted, version.c_str());
     for (const zone_name &zone : namesFromJson<zone_name>(object, "evacuated"))
         state.m_evacuated.insert(zone);
-    state.m_evacuationOrders = evacuationOrdersFromJson(object);
-    for (const upstream_incarnation &incarnation : incarnationsFromJson(object, "upstreams"))
+    state.m_evacuationOrders = numbersFromJson<zone_name>(object, "evacuationOrders");
+    const auto terminatedAt = numbersFromJson<upstream_id>(object, "terminatedAt");
+    for (const upstream_incarnation &incarnation : incarnationsFromJson(object, "upstreams")) {
         state.m_upstreams[incarnation.id] = incarnation;
+        if (incarnation.state != upstream_state::terminated)
+            continue;
+        const auto found = terminatedAt.find(incarnation.id);
+        state.m_terminatedAt[incarnation.id] = found == terminatedAt.end() ? 0 : found->second;
+    }
     for (const fleet_entry &entry : entriesFromJson(object, "entries"))
         state.m_entries[entry.address] = entry;
     *this = state;
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -11,8 +11,7 @@
 namespace {
 
 // Terminated upstreams that are kept: this many, or as many for each other upstream if that is
-// more, because a release replaces a whole fleet. The incarnations that started first are dropped
-// first.
+// more, because a release replaces a whole fleet.
 constexpr std::size_t minimumKeptTerminated = 500;
 constexpr std::size_t keptTerminatedPerUpstream = 2;
 
@@ -101,22 +100,25 @@
         }
     }
     m_upstreams[incarnation.id] = stored;
-    const auto terminatedCount =
-        std::count_if(m_upstreams.begin(), m_upstreams.end(), [](const auto &each) {
-            return each.second.state == upstream_state::terminated;
-        });
-    const auto terminated = static_cast<std::size_t>(terminatedCount);
-    if (terminated <= std::max(minimumKeptTerminated,
-                               (m_upstreams.size() - terminated) * keptTerminatedPerUpstream))
+    if (stored.state != upstream_state::terminated) {
+        m_terminatedAt.erase(stored.id);
         return;
-    auto oldest = m_upstreams.end();
-    for (auto each = m_upstreams.begin(); each != m_upstreams.end(); ++each) {
-        if (each->second.state == upstream_state::terminated
-            && (oldest == m_upstreams.end()
-                || each->second.startTimeMs < oldest->second.startTimeMs))
-            oldest = each;
     }
-    m_upstreams.erase(oldest);
+    m_terminatedAt.emplace(stored.id, m_appliedCommands);
+    dropTerminatedUpstreams();
+}
+
+void fleet_state::dropTerminatedUpstreams()
+{
+    const std::size_t others = m_upstreams.size() - m_terminatedAt.size();
+    const std::size_t kept = std::max(minimumKeptTerminated, others * keptTerminatedPerUpstream);
+    while (m_terminatedAt.size() > kept) {
+        const auto earliest = std::min_element(
+            m_terminatedAt.begin(), m_terminatedAt.end(),
+            [](const auto &left, const auto &right) { return left.second < right.second; });
+        m_upstreams.erase(earliest->first);
+        m_terminatedAt.erase(earliest);
+    }
 }
 
 } // namespace kingcuptiller
--- a/tests/fleet/fleet_state_test.cpp
+++ b/tests/fleet/fleet_state_test.cpp
@@ -72,6 +72,7 @@
     CPPUNIT_TEST(overtakenHeartbeatChangesNothingButTheState);
     CPPUNIT_TEST(newIncarnationReplacesTerminatedOne);
     CPPUNIT_TEST(replacedFleetIsNotRegisteredAgainByDelayedHeartbeats);
+    CPPUNIT_TEST(longLivedUpstreamIsNotForgottenWhenItEnds);
     CPPUNIT_TEST(snapshotAndCommandsRoundTripThroughJson);
     CPPUNIT_TEST(damagedSnapshotsAreRefused);
     CPPUNIT_TEST(invalidConfigurationsAreRejected);
@@ -192,6 +193,33 @@
         }
     }
 
+    // Guards against an upstream that is in use again after its end, by a delayed heartbeat,
+    // because more upstreams that started later had ended before it.
+    void longLivedUpstreamIsNotForgottenWhenItEnds()
+    {
+        constexpr int shortLived = 700;
+        fleet_state state;
+        const auto store = [&state](const upstream_incarnation &incarnation) {
+            state.apply(registration_command{{incarnation}, {}, {}});
+        };
+        store(makeIncarnation("long", 100, 1));
+        for (int i = 0; i < shortLived; ++i)
+            store(makeIncarnation("short-" + std::to_string(i), 200 + i, 2,
+                                  upstream_state::terminated));
+        store(makeIncarnation("long", 100, 9, upstream_state::terminated));
+        fleet_state restored;
+        restored.restore(state.snapshot());
+        store(makeIncarnation("next", 2'000, 2, upstream_state::terminated));
+        restored.apply(registration_command{
+            {makeIncarnation("next", 2'000, 2, upstream_state::terminated)}, {}, {}});
+        CPPUNIT_ASSERT(restored == state);
+        store(makeIncarnation("long", 100, 8));
+        CPPUNIT_ASSERT(state.upstreams().at(upstream_id("long")).state
+                       == upstream_state::terminated);
+        CPPUNIT_ASSERT(!state.upstreams().contains(upstream_id("short-0")));
+        CPPUNIT_ASSERT(state.upstreams().contains(upstream_id("short-699")));
+    }
+
     // Guards against fields that are encoded but not decoded.
     void snapshotAndCommandsRoundTripThroughJson()
     {
