--- a/include/kingcuptiller/node/control_node.h
+++ b/include/kingcuptiller/node/control_node.h
@@ -49,8 +49,8 @@
     milliseconds viewInterval{80};
     milliseconds tickInterval{50};
     // How long a host goes on reading input that is ready before it writes what it has read to the
-    // disk; longer if the last round took longer, so that a host under load does not spend more
-    // than half of its time on rounds.
+    // disk; longer, up to the tick interval, if the last round took longer. So a host under load
+    // does not spend more than half of its time on rounds.
     milliseconds gatherLimit{10};
     // How often the timeouts of calls, upstreams and entries are checked.
     milliseconds timeoutCheckInterval{100};
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -173,7 +173,9 @@
     m_inputArrived = true;
     if (std::exchange(m_roundScheduled, true))
         return;
-    m_gatherEnd = m_options.now() + std::max<microseconds>(m_options.gatherLimit, m_roundDuration);
+    const microseconds longest = std::max(m_options.gatherLimit, m_options.tickInterval);
+    m_gatherEnd =
+        m_options.now() + std::clamp<microseconds>(m_roundDuration, m_options.gatherLimit, longest);
     gatherInput();
 }
 
