--- a/tests/node/control_node_test.cpp
+++ b/tests/node/control_node_test.cpp
@@ -224,7 +224,7 @@
     std::shared_ptr<std::optional<result_code>> evacuate(const zone_name &zone, bool begins,
                                                          control_node::caller_check isWaiting)
     {
-        const auto answer = std::make_shared<std::optional<result_code>>();
+        auto answer = std::make_shared<std::optional<result_code>>();
         asio::co_spawn(
             context,
             [](control_node &host, zone_name ordered, bool evacuated,
--- a/tests/relay/held_responses_test.cpp
+++ b/tests/relay/held_responses_test.cpp
@@ -1,4 +1,5 @@
 #include "kingcuptiller/relay/byte_budget.h"
+#include "kingcuptiller/relay/request_relay.h"
 #include "tests/relay/relay_fixture.h"
 
 #include <boost/asio/ip/tcp.hpp>
