--- a/src/fleet/fleet_control.cpp
+++ b/src/fleet/fleet_control.cpp
@@ -322,7 +322,7 @@
         upstream_incarnation incarnation = known->second;
         incarnation.silent = true;
         incarnation.coldRemaining = expectedColdTime(known->second, now);
-        // So that a copy of a heartbeat that was not stored does not end the silence.
+        // A copy of a heartbeat that was not stored must not clear the flag.
         if (heartbeat.startTimeMs == incarnation.startTimeMs)
             incarnation.sequence = std::max(incarnation.sequence, heartbeat.sequence);
         result.push_back(incarnation);
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -93,7 +93,7 @@
             || (incarnation.startTimeMs == previous.startTimeMs
                 && incarnation.state < previous.state))
             return;
-        // Of a heartbeat that a later one has overtaken, only the end of serving is news.
+        // A heartbeat that arrives after a later one may only advance the state.
         if (incarnation.isOlderThan(previous)) {
             stored = previous;
             stored.state = incarnation.state;
