Log what each part of a split route should get and gets

Whether a part misses requests because it is not given them, or because it rejects them, could not be told from the log: request_ended names the service, not the share that it should have. The new event route_split has both, once a second. The choice of the part moves to traffic_split unchanged.

--- a/include/kingcuptiller/relay/request_relay.h
+++ b/include/kingcuptiller/relay/request_relay.h
@@ -6,6 +6,7 @@
 #include "kingcuptiller/relay/request_metrics.h"
 #include "kingcuptiller/relay/shared_retry_budget.h"
 #include "kingcuptiller/relay/traffic_server.h"
+#include "kingcuptiller/relay/traffic_split.h"
 #include "kingcuptiller/relay/upstream_choice.h"
 #include "kingcuptiller/relay/upstream_connections.h"
 #include "kingcuptiller/telemetry/counters.h"
@@ -15,7 +16,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -84,8 +84,9 @@
     // when its response is expected within half of the time until `end`. Attempts still in progress
     // at `end` are aborted, so that their clients get a response.
     void setProcessEnd(instant end);
-    // Closes unusable idle connections and logs the number of requests sent to each region since
-    // the last call. Call it about once a second; between calls, unusable connections stay open.
+    // Closes unusable idle connections and logs the number of requests sent to each region, and to
+    // each part of a route that splits its requests, since the last call. Call it about once a
+    // second; between calls, unusable connections stay open.
     void runPeriodicTasks();
 
 private:
@@ -116,8 +117,6 @@
     // upstream if there is one, else 504 for the reason "time_over" and 502 for any other.
     [[nodiscard]] relay_response endWithUnknownOutcome(request_progress &progress,
                                                        std::string_view reason);
-    // Selects the service of a route that splits its traffic by weight.
-    [[nodiscard]] const service_name &selectServiceOfRoute(const traffic_route &route);
     // Reports the result of an attempt to `m_upstreamChoice`. Returns the load that the upstream
     // reported, if any.
     std::optional<upstream_load_report> recordAttemptResult(const chosen_upstream &upstream,
@@ -147,9 +146,7 @@
     std::shared_ptr<const route_table> m_routes;
     client_limits m_limits;
     revision_number m_configurationVersion;
-    // Number of requests assigned to each service of a route that splits its traffic by weight, by
-    // route name. Stored as double to be divided by the weights.
-    std::map<std::string, std::map<service_name, double>> m_requestsByRouteAndService;
+    traffic_split m_trafficSplit;
 };
 
 } // namespace kingcuptiller
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -98,6 +98,16 @@
             .field("first", flow.firstAttempts)
             .field("repeated", flow.retryAttempts);
     }
+    for (const split_part_counts &part : m_trafficSplit.take()) {
+        log_line(log_level::info, "relay", "route_split")
+            .field("route", part.route)
+            .field("service", part.service.text())
+            .field("version", m_configurationVersion.number())
+            .field("share", part.share)
+            .field("assigned", part.assigned)
+            .field("answered", part.answered)
+            .field("refused", part.refused);
+    }
 }
 
 void request_relay::setProcessEnd(instant end)
@@ -113,28 +123,6 @@
     });
 }
 
-const service_name &request_relay::selectServiceOfRoute(const traffic_route &route)
-{
-    if (route.weightedServices.size() == 1)
-        return route.weightedServices.front().service;
-    // Select the service with the fewest requests relative to its weight, so that the ratio of the
-    // requests follows the weights at any time.
-    auto &assignedRequests = m_requestsByRouteAndService[route.name];
-    const weighted_service *nextPart = nullptr;
-    double lowestWeightedCount = 0;
-    for (const weighted_service &part : route.weightedServices) {
-        if (part.weight <= 0)
-            continue;
-        const double weightedCount = (assignedRequests[part.service] + 1) / part.weight;
-        if (nextPart == nullptr || weightedCount < lowestWeightedCount) {
-            nextPart = &part;
-            lowestWeightedCount = weightedCount;
-        }
-    }
-    assignedRequests[nextPart->service] += 1;
-    return nextPart->service;
-}
-
 asio::awaitable<relay_response> request_relay::handle(const relay_request &request,
                                                       client_disconnect_signal &client)
 {
@@ -161,7 +149,7 @@
         request,
         client,
         *route,
-        selectServiceOfRoute(*route),
+        m_trafficSplit.assign(*route),
         route->affinity ? std::string(toStringView(request[m_options.headers.object]))
                         : std::string(),
         now,
