Follow the weights of a split route from the first request on

Callers saw all requests of a route go to one part, whatever its weight. Cause: the part was chosen by all requests since the start of the process, divided by the weights of now, so after a change one part got everything until the debt was paid; and every entry began with the heaviest part, so few requests an entry (many entries, restarts, joins, a new route) gave the light part nothing. Class of fault: a count made under one configuration decides under the next.

The weights only divide the interval, so nothing has to be forgotten when they change, and any run of requests of one entry is spread evenly. Routes that are no longer configured are forgotten.

--- a/include/kingcuptiller/relay/request_relay.h
+++ b/include/kingcuptiller/relay/request_relay.h
@@ -43,6 +43,8 @@
     // Limit of all response bodies together that are being read or sent to clients. An exchange
     // with a response that does not fit is aborted.
     std::uint64_t maximumHeldResponseBytes = 67'108'864;
+    // Seed of the random choices that must differ between entries, and between runs of one entry.
+    std::uint64_t runSeed = 0;
     // Returns the current time.
     std::function<instant()> now;
 };
--- a/include/kingcuptiller/relay/traffic_split.h
+++ b/include/kingcuptiller/relay/traffic_split.h
@@ -5,6 +5,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,10 +29,25 @@
 };
 
 // Assigns the requests of one entry to the services of their routes, by the weights of the
-// configuration, and counts what became of them. Not thread-safe.
+// configuration, and counts what became of them.
+//
+// Each request of a route gets a position in [0, 1), and the weights divide this interval among the
+// services. The positions do not depend on the weights: each is the previous one plus the golden
+// ratio, modulo 1, so that any sequence of consecutive positions covers the interval evenly. Thus
+// new weights hold from the next request on. The first position is random, so that the first
+// requests of many entries follow the weights too. Not thread-safe.
 class traffic_split
 {
 public:
+    // `seed` must differ between entries, and between runs of one entry.
+    explicit traffic_split(std::uint64_t seed)
+        : m_random(seed)
+    {
+    }
+
+    // Forgets the routes that are not in `routes`.
+    void update(const route_table &routes);
+
     // Returns the service for the next request of `route`. The reference is valid as long as
     // `route`.
     [[nodiscard]] const service_name &assign(const traffic_route &route);
@@ -46,9 +62,12 @@
     [[nodiscard]] std::vector<split_part_counts> take();
 
 private:
-    // The number of requests assigned to each service of a route, by route name. Stored as double
-    // to be divided by the weights.
-    std::map<std::string, std::map<service_name, double>> m_requestsByRouteAndService;
+    // Returns the position of the next request of the route.
+    [[nodiscard]] double nextPosition(const std::string &route);
+
+    std::mt19937_64 m_random;
+    // The position of the latest request of each split route, by name.
+    std::map<std::string, double> m_positions;
     std::map<std::string, std::map<service_name, split_part_counts>> m_counts;
 };
 
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -41,6 +41,8 @@
     options.choice.regions = settings.zones;
     options.choice.shift = {settings.largestShift, settings.shiftWindow};
     options.choice.entrySeed = XXH3_64bits(settings.name.data(), settings.name.size());
+    options.runSeed = options.choice.entrySeed
+        ^ static_cast<std::uint64_t>(readInstant().time_since_epoch().count());
     options.retryBudget = {settings.retryShare, settings.retrySlack, settings.retryWindow};
     options.maximumHeldResponseBytes = settings.memoryBytes / heldResponsesDivisor;
     options.now = readInstant;
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -66,6 +66,7 @@
     , m_heldResponseBytes(m_options.maximumHeldResponseBytes)
     , m_heldResponseBytesGauge(counters.get("kct_relay_held_response_bytes"))
     , m_processEndTimer(context)
+    , m_trafficSplit(m_options.runSeed)
 {
 }
 
@@ -74,6 +75,7 @@
 {
     if (configuration && (m_routes == nullptr || configuration->version > m_configurationVersion)) {
         m_routes = std::make_shared<const route_table>(*configuration);
+        m_trafficSplit.update(*m_routes);
         m_limits = configuration->limits;
         m_configurationVersion = configuration->version;
     }
--- a/src/relay/traffic_split.cpp
+++ b/src/relay/traffic_split.cpp
@@ -1,5 +1,7 @@
 #include "kingcuptiller/relay/traffic_split.h"
 
+#include <cmath>
+#include <numbers>
 #include <numeric>
 #include <utility>
 
@@ -21,29 +23,40 @@
 
 } // namespace
 
+void traffic_split::update(const route_table &routes)
+{
+    std::erase_if(m_positions, [&](const auto &each) { return !routes.contains(each.first); });
+}
+
+double traffic_split::nextPosition(const std::string &route)
+{
+    const auto [found, isNew] = m_positions.try_emplace(route, 0.0);
+    double &position = found->second;
+    position = isNew ? std::uniform_real_distribution<double>(0, 1)(m_random)
+                     : std::fmod(position + std::numbers::phi, 1.0);
+    return position;
+}
+
 const service_name &traffic_split::assign(const traffic_route &route)
 {
     if (!isSplit(route))
         return route.weightedServices.front().service;
-    // Select the service with the fewest requests relative to its weight, so that the ratio of the
-    // requests follows the weights at any time.
-    auto &assignedRequests = m_requestsByRouteAndService[route.name];
-    const weighted_service *nextPart = nullptr;
-    double lowestWeightedCount = 0;
+    const double total = totalWeight(route);
+    const double position = nextPosition(route.name) * total;
+    const weighted_service *chosen = nullptr;
+    double end = 0;
     for (const weighted_service &part : route.weightedServices) {
         if (part.weight <= 0)
             continue;
-        const double weightedCount = (assignedRequests[part.service] + 1) / part.weight;
-        if (nextPart == nullptr || weightedCount < lowestWeightedCount) {
-            nextPart = &part;
-            lowestWeightedCount = weightedCount;
-        }
+        chosen = &part;
+        end += part.weight;
+        if (position < end)
+            break;
     }
-    assignedRequests[nextPart->service] += 1;
-    split_part_counts &counts = m_counts[route.name][nextPart->service];
-    counts.share = nextPart->weight / totalWeight(route);
+    split_part_counts &counts = m_counts[route.name][chosen->service];
+    counts.share = chosen->weight / total;
     ++counts.assigned;
-    return nextPart->service;
+    return chosen->service;
 }
 
 void traffic_split::recordEnd(const traffic_route &route, const service_name &service,
--- a/tests/relay/traffic_split_test.cpp
+++ b/tests/relay/traffic_split_test.cpp
@@ -44,9 +44,9 @@
     return route;
 }
 
-traffic_split makeSplit(std::mt19937 &)
+traffic_split makeSplit(std::mt19937 &random)
 {
-    return {};
+    return traffic_split(random());
 }
 
 // Sends each request of a phase to a random entry. Returns the number that each service got.
