Know a route by its requests, and learn a service anew when it returns

Estimates of routes were kept by name, so a name that is used again for another prefix, or two routes of one name, shared service times, placement and position in a split; they are kept by host and prefix now.

--- a/include/kingcuptiller/fleet/traffic_configuration.h
+++ b/include/kingcuptiller/fleet/traffic_configuration.h
@@ -53,6 +53,10 @@
     // Regions whose upstreams may receive the requests; empty for all regions.
     std::set<region_name> regions;
 
+    // Identifies the requests of the route in all configurations. Two routes never share it, and it
+    // is not used again for other requests, as a name may be.
+    [[nodiscard]] std::string key() const;
+
     bool operator==(const traffic_route &) const = default;
 };
 
@@ -118,17 +122,17 @@
     [[nodiscard]] const traffic_route *find(std::string_view host, std::string_view path) const;
     // Returns nullptr for an unknown service. The pointer is valid for the lifetime of this table.
     [[nodiscard]] const service_settings *service(const service_name &name) const;
-    // Whether a route with this name exists.
-    [[nodiscard]] bool contains(const std::string &route) const
+    // Whether a route with this key exists.
+    [[nodiscard]] bool contains(const std::string &routeKey) const
     {
-        return m_routeNames.contains(route);
+        return m_routeKeys.contains(routeKey);
     }
 
 private:
     // Routes by lower-case host; those of one host are sorted by length of the prefix, the longest
     // first.
     std::map<std::string, std::vector<traffic_route>, std::less<>> m_routesByHost;
-    std::set<std::string> m_routeNames;
+    std::set<std::string> m_routeKeys;
     std::map<service_name, service_settings> m_services;
 };
 
--- a/include/kingcuptiller/relay/traffic_split.h
+++ b/include/kingcuptiller/relay/traffic_split.h
@@ -15,6 +15,7 @@
 // What one part of a route that splits its requests got between two log lines.
 struct split_part_counts
 {
+    // The name of the route.
     std::string route;
     service_name service;
     // The share that the part should have, from 0 to 1, by the newest configuration that was used.
@@ -63,11 +64,12 @@
 
 private:
     // Returns the position of the next request of the route.
-    [[nodiscard]] double nextPosition(const std::string &route);
+    [[nodiscard]] double nextPosition(const traffic_route &route);
 
     std::mt19937_64 m_random;
-    // The position of the latest request of each split route, by name.
+    // The position of the latest request of each split route, by route key.
     std::map<std::string, double> m_positions;
+    // By route key and service.
     std::map<std::string, std::map<service_name, split_part_counts>> m_counts;
 };
 
--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -45,7 +45,7 @@
     // The expected number of requests that each slot (place for one running request) of the
     // upstream finishes before this one starts: the estimated queue length divided by the slots.
     double queueRounds = 0;
-    // The name of the request's route.
+    // The key of the request's route.
     std::string route{};
 
     auto operator<=>(const upstream_attempt_record &) const = default;
@@ -113,7 +113,7 @@
     std::set<upstream_id> triedUpstreams;
     // The region of the previous attempt, when that attempt did not serve the request.
     std::optional<region_name> previousRegion = std::nullopt;
-    // The name of the request's route. Service times are estimated for each route.
+    // The key of the request's route. Service times are estimated for each route.
     std::string route{};
     // Whether a time that is only assumed may reject the request. Set where the request would be
     // aborted if it took longer, and another entry can serve it.
@@ -168,7 +168,9 @@
     explicit upstream_choice(upstream_choice_settings settings);
 
     // Replaces the known upstreams and entries by those of `view`. The statistics of upstreams that
-    // are still the same incarnation are kept.
+    // are still the same incarnation are kept. What is known of a route is forgotten when it is no
+    // longer configured, and what is known of a service when it is not configured and has no
+    // upstreams.
     void update(const fleet_view &view, const route_table &routes, instant now);
 
     // Returns the upstream with the lowest cost that the shift cap permits. When there is none,
--- a/src/fleet/traffic_configuration.cpp
+++ b/src/fleet/traffic_configuration.cpp
@@ -56,6 +56,11 @@
 
 } // namespace
 
+std::string traffic_route::key() const
+{
+    return lowerCaseHostWithoutPort(host) + pathPrefix;
+}
+
 void checkConfiguration(const traffic_configuration &configuration)
 {
     if (configuration.version <= configuration.base)
@@ -77,7 +82,7 @@
 {
     for (const traffic_route &route : configuration.routes) {
         m_routesByHost[lowerCaseHostWithoutPort(route.host)].push_back(route);
-        m_routeNames.insert(route.name);
+        m_routeKeys.insert(route.key());
     }
     for (auto &[host, routes] : m_routesByHost) {
         std::stable_sort(routes.begin(), routes.end(), [](const auto &left, const auto &right) {
--- a/src/relay/request_progress.h
+++ b/src/relay/request_progress.h
@@ -27,6 +27,7 @@
     const relay_request &request;
     client_disconnect_signal &client;
     const traffic_route &route;
+    std::string routeKey;
     service_name service;
     // Key of the object that the request concerns; empty when the route has no affinity.
     std::string object;
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -151,6 +151,7 @@
         request,
         client,
         *route,
+        route->key(),
         m_trafficSplit.assign(*route),
         route->affinity ? std::string(toStringView(request[m_options.headers.object]))
                         : std::string(),
@@ -200,7 +201,7 @@
         const auto upstream = m_upstreamChoice.choose(
             {progress.service, progress.object, progress.route.regions,
              progress.route.latencyTarget, maximumDuration, progress.triedUpstreams,
-             progress.previousRegion, progress.route.name, m_processEnd.has_value()},
+             progress.previousRegion, progress.routeKey, m_processEnd.has_value()},
             now, reason);
         if (!upstream && progress.mayHaveRun)
             co_return endWithUnknownOutcome(progress, "no_upstream");
@@ -220,7 +221,7 @@
 {
     const instant sentAt = m_options.now();
     const upstream_attempt_record attempt = m_upstreamChoice.attemptStarted(
-        upstream.incarnation.id, progress.object, sentAt, progress.route.name);
+        upstream.incarnation.id, progress.object, sentAt, progress.routeKey);
     m_regionFlows.sent(progress.service, upstream.region, progress.sentAttempts > 0);
     upstream_attempt_result result = co_await sendToUpstream(progress, upstream);
     const upstream_attempt_outcome outcome = progress.client.hasDisconnected()
@@ -243,7 +244,7 @@
         .field("outcome", static_cast<int>(outcome));
     switch (outcome) {
     case upstream_attempt_outcome::answered:
-        m_upstreamChoice.recordBytes(progress.service, progress.route.name,
+        m_upstreamChoice.recordBytes(progress.service, progress.routeKey,
                                      progress.request.body().size() + result.response.body().size()
                                          + headerBytes);
         recordRequestEnd(progress, "answered", "");
--- a/src/relay/traffic_split.cpp
+++ b/src/relay/traffic_split.cpp
@@ -28,9 +28,9 @@
     std::erase_if(m_positions, [&](const auto &each) { return !routes.contains(each.first); });
 }
 
-double traffic_split::nextPosition(const std::string &route)
+double traffic_split::nextPosition(const traffic_route &route)
 {
-    const auto [found, isNew] = m_positions.try_emplace(route, 0.0);
+    const auto [found, isNew] = m_positions.try_emplace(route.key(), 0.0);
     double &position = found->second;
     position = isNew ? std::uniform_real_distribution<double>(0, 1)(m_random)
                      : std::fmod(position + std::numbers::phi, 1.0);
@@ -42,8 +42,8 @@
     if (!isSplit(route))
         return route.weightedServices.front().service;
     const double total = totalWeight(route);
-    const double position = nextPosition(route.name) * total;
-    const weighted_service *chosen = nullptr;
+    const double position = nextPosition(route) * total;
+    const weighted_service *chosen = &route.weightedServices.front();
     double end = 0;
     for (const weighted_service &part : route.weightedServices) {
         if (part.weight <= 0)
@@ -53,7 +53,8 @@
         if (position < end)
             break;
     }
-    split_part_counts &counts = m_counts[route.name][chosen->service];
+    split_part_counts &counts = m_counts[route.key()][chosen->service];
+    counts.route = route.name;
     counts.share = chosen->weight / total;
     ++counts.assigned;
     return chosen->service;
@@ -64,7 +65,8 @@
 {
     if (!isSplit(route))
         return;
-    split_part_counts &counts = m_counts[route.name][service];
+    split_part_counts &counts = m_counts[route.key()][service];
+    counts.route = route.name;
     counts.answered += outcome == "answered" ? 1 : 0;
     counts.refused += outcome == "refused" ? 1 : 0;
 }
@@ -72,9 +74,8 @@
 std::vector<split_part_counts> traffic_split::take()
 {
     std::vector<split_part_counts> result;
-    for (auto &[route, parts] : std::exchange(m_counts, {})) {
+    for (auto &[key, parts] : std::exchange(m_counts, {})) {
         for (auto &[service, counts] : parts) {
-            counts.route = route;
             counts.service = service;
             result.push_back(std::move(counts));
         }
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -153,6 +153,9 @@
             recordColdStart(record, service.coldTime, now);
         m_upstreams.emplace(incarnation.id, std::move(record));
     }
+    std::erase_if(m_services, [&](const auto &each) {
+        return each.second.members.empty() && routes.service(each.first) == nullptr;
+    });
     for (auto &[name, service] : m_services) {
         service.times.eraseRoutes(
             [&](const std::string &route) { return !routes.contains(route); });
