Bound the bytes of all request bodies that an entry holds

Each body was bounded, their sum was not, and an idle connection kept the body of its last request. A request whose body does not fit is now rejected with 503 and Retry-After, before it is read where its length is known; bodies up to 64 KiB have a budget of their own, so that a large upload does not keep the others out. Large bodies take at most a quarter of the memory of the process, as responses do, and each is copied once for the upstream. After an error response, what the client still sends is discarded for a second: a connection that is closed with unread bytes is reset, and the client may lose the response.

--- a/include/kingcuptiller/relay/traffic_server.h
+++ b/include/kingcuptiller/relay/traffic_server.h
@@ -7,6 +7,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ssl/context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 
 #include <cstddef>
 #include <functional>
@@ -61,16 +63,23 @@
 // An HTTP/1.1 server that listens on one address and runs entirely in the thread that runs
 // `context`. It reads each request completely and handles the requests of a connection one after
 // another. For a malformed request, or one that exceeds the limits, it sends 400, 408, 413 or 431
-// and closes the connection. A request whose client has closed the connection before the request is
+// and closes the connection; where the bodies of all requests would take too much memory, 503. A
+// request whose client has closed the connection before the request is
 // read, as happens while this process is suspended, is dropped without being handled.
 class traffic_server
 {
 public:
+    // The limit, in bytes, of the large bodies of all requests that are being read or handled. One
+    // of the largest size that configurations permit fits. Small bodies have a limit of their own,
+    // so that large ones do not keep them out.
+    static constexpr std::uint64_t defaultHeldRequestBytes = std::uint64_t{64} * 1024 * 1024;
+
     // Starts to listen. `limits` is called for each request. Connections use TLS when `tls` is not
     // nullptr. Throws `error` with `port_unavailable` when it cannot listen on `address`.
     traffic_server(boost::asio::io_context &context, const tcp_endpoint &address,
                    request_handler handler, std::function<client_limits()> limits,
-                   std::shared_ptr<boost::asio::ssl::context> tls = nullptr);
+                   std::shared_ptr<boost::asio::ssl::context> tls = nullptr,
+                   std::uint64_t heldRequestBytes = defaultHeldRequestBytes);
     ~traffic_server();
     traffic_server(const traffic_server &) = delete;
     traffic_server &operator=(const traffic_server &) = delete;
@@ -95,6 +104,19 @@
     // Reads a request into `client.request`. Returns false when there is none and the connection is
     // to be closed; sends an error response first where appropriate.
     boost::asio::awaitable<bool> readRequest(session &client);
+    // Counts the body of `client` with `bytes`, instead of its bytes so far. Returns false when
+    // they do not fit into the budget for bodies of this size.
+    [[nodiscard]] bool holdBody(session &client, std::uint64_t bytes);
+    // Reads the body that follows a header, and counts it. Returns false when it does not fit
+    // into the budget for bodies of its size; sets `errorCode` when
+    // reading fails.
+    boost::asio::awaitable<bool>
+    readBody(session &client,
+             boost::beast::http::request_parser<boost::beast::http::string_body> &parser,
+             boost::system::error_code &errorCode);
+    // Reads and discards what the client still sends, for a short time: a connection that is closed
+    // with unread bytes is reset, and the client may lose the response.
+    boost::asio::awaitable<void> discardInput(session &client);
     // Sends a response with `status` that closes the connection. Always returns false.
     boost::asio::awaitable<bool> sendErrorResponse(session &client,
                                                    boost::beast::http::status status);
@@ -105,6 +127,8 @@
     std::function<client_limits()> m_limits;
     std::set<std::shared_ptr<session>> m_sessions;
     std::shared_ptr<boost::asio::ssl::context> m_tls;
+    byte_budget m_largeBodies;
+    byte_budget m_smallBodies;
     bool m_draining = false;
 };
 
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -29,8 +29,9 @@
 constexpr milliseconds shutdownReserve{300};
 constexpr milliseconds lastAnswersTime{150};
 constexpr milliseconds leavingCheck{50};
-// Response bodies take at most this part of the memory of the process.
-constexpr std::uint64_t heldResponsesDivisor = 4;
+// Response bodies take at most this part of the memory of the process, and so do request bodies,
+// which are copied once for the upstream.
+constexpr std::uint64_t heldBodiesDivisor = 4;
 
 relay_options relayOptions(const node_settings &settings, const entry_platform &platform)
 {
@@ -44,7 +45,7 @@
     options.runSeed = options.choice.entrySeed
         ^ static_cast<std::uint64_t>(readInstant().time_since_epoch().count());
     options.retryBudget = {settings.retryShare, settings.retrySlack, settings.retryWindow};
-    options.maximumHeldResponseBytes = settings.memoryBytes / heldResponsesDivisor;
+    options.maximumHeldResponseBytes = settings.memoryBytes / heldBodiesDivisor;
     options.now = readInstant;
     return options;
 }
@@ -145,7 +146,7 @@
         [this](const relay_request &request, client_disconnect_signal &client) {
             return m_relay.handle(request, client);
         },
-        [this] { return m_relay.limits(); });
+        [this] { return m_relay.limits(); }, nullptr, m_settings.memoryBytes / heldBodiesDivisor);
     m_feed = std::make_unique<feed_thread>(
         m_settings, *m_settings.traffic, m_platform.decodeConfiguration,
         [this](fleet_view view, std::optional<traffic_configuration> configuration) {
--- a/src/relay/traffic_server.cpp
+++ b/src/relay/traffic_server.cpp
@@ -32,6 +32,16 @@
 constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 // Time for writing a response; the connection of a client that reads more slowly is closed.
 constexpr std::chrono::seconds writeTimeout{10};
+// How long input is discarded after an error response, and the size of one read.
+constexpr milliseconds discardTime{1'000};
+constexpr std::size_t discardedBytesPerRead = 65'536;
+// A body up to this size, in bytes, is small. All small bodies together may take this part of the
+// limit for the large ones.
+constexpr std::uint64_t maxSmallBodyBytes = 65'536;
+constexpr std::uint64_t smallBodiesDivisor = 4;
+// Retry-After of a request whose body does not fit, in seconds. Bodies in memory are let go as soon
+// as their requests end.
+constexpr const char *retryAfterHeldBytes = "1";
 // Delay after a failed accept, which usually means that the process has no free file descriptors.
 constexpr milliseconds acceptRetryDelay{50};
 
@@ -90,18 +100,24 @@
     client_stream stream;
     beast::flat_buffer buffer;
     relay_request request;
+    // The bytes of the body of `request`, and which budget they belong to.
+    byte_budget::holding heldBytes;
+    bool bodyIsLarge = false;
     // Set from the first byte of a request until its response is written.
     bool requestInProgress = false;
 };
 
 traffic_server::traffic_server(asio::io_context &context, const tcp_endpoint &address,
                                request_handler handler, std::function<client_limits()> limits,
-                               std::shared_ptr<asio::ssl::context> tls)
+                               std::shared_ptr<asio::ssl::context> tls,
+                               std::uint64_t heldRequestBytes)
     : m_context(context)
     , m_acceptor(openListener(context, address))
     , m_handler(std::move(handler))
     , m_limits(std::move(limits))
     , m_tls(std::move(tls))
+    , m_largeBodies(heldRequestBytes)
+    , m_smallBodies(heldRequestBytes / smallBodiesDivisor)
 {
     asio::co_spawn(m_context, acceptConnections(), asio::detached);
 }
@@ -169,6 +185,9 @@
     }
     while (keepsConnection) {
         client->requestInProgress = false;
+        client->request = {};
+        client->heldBytes = m_smallBodies.open();
+        client->bodyIsLarge = false;
         try {
             keepsConnection = co_await serveNextRequest(*client);
         } catch (const std::exception &failure) {
@@ -186,12 +205,56 @@
     relay_response response =
         makeTextResponse(status, "the request breaks a limit or is malformed\n");
     response.keep_alive(false);
+    if (status == http::status::service_unavailable)
+        response.set(http::field::retry_after, retryAfterHeldBytes);
     error_code errorCode;
     client.stream.expiresAfter(writeTimeout);
     co_await http::async_write(client.stream, response, redirectErrorTo(errorCode));
+    if (!errorCode)
+        co_await discardInput(client);
     co_return false;
 }
 
+asio::awaitable<void> traffic_server::discardInput(session &client)
+{
+    error_code errorCode;
+    client.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, errorCode);
+    client.stream.expiresAfter(discardTime);
+    std::vector<char> discarded(discardedBytesPerRead);
+    while (!errorCode)
+        co_await client.stream.async_read_some(asio::buffer(discarded), redirectErrorTo(errorCode));
+}
+
+bool traffic_server::holdBody(session &client, std::uint64_t bytes)
+{
+    const bool isLarge = bytes > maxSmallBodyBytes;
+    if (isLarge != client.bodyIsLarge)
+        client.heldBytes = (isLarge ? m_largeBodies : m_smallBodies).open();
+    client.bodyIsLarge = isLarge;
+    return client.heldBytes.resize(bytes);
+}
+
+asio::awaitable<bool> traffic_server::readBody(session &client,
+                                               http::request_parser<http::string_body> &parser,
+                                               error_code &errorCode)
+{
+    const auto length = parser.content_length();
+    if (!holdBody(client, length.value_or(0)))
+        co_return false;
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
+        co_await asio::async_write(client.stream, asio::buffer(continueResponse),
+                                   redirectErrorTo(errorCode));
+    client.stream.expiresAfter(m_limits().idleTimeout);
+    while (!errorCode && !parser.is_done()) {
+        co_await http::async_read_some(client.stream, client.buffer, parser,
+                                       redirectErrorTo(errorCode));
+        // The size of a chunked body is not known before its end.
+        if (!length && !holdBody(client, parser.get().body().capacity()))
+            co_return false;
+    }
+    co_return true;
+}
+
 asio::awaitable<bool> traffic_server::readRequest(session &client)
 {
     const client_limits limits = m_limits();
@@ -215,13 +278,8 @@
                                      redirectErrorTo(errorCode));
     if (!errorCode && parser.chunked() && parser.get().has_content_length())
         errorCode = http::error::bad_transfer_encoding;
-    if (!errorCode && beast::iequals(parser.get()[http::field::expect], "100-continue"))
-        co_await asio::async_write(client.stream, asio::buffer(continueResponse),
-                                   redirectErrorTo(errorCode));
-    if (!errorCode) {
-        client.stream.expiresAfter(limits.idleTimeout);
-        co_await http::async_read(client.stream, client.buffer, parser, redirectErrorTo(errorCode));
-    }
+    if (!errorCode && !co_await readBody(client, parser, errorCode))
+        co_return co_await sendErrorResponse(client, http::status::service_unavailable);
     if (errorCode) {
         if (errorCode == beast::error::timeout)
             co_return co_await sendErrorResponse(client, http::status::request_timeout);
