--- a/tests/platform/changing_weights_test.cpp
+++ b/tests/platform/changing_weights_test.cpp
@@ -1,3 +1,4 @@
+#include "kingcuptiller/relay/http_types.h"
 #include "tests/platform/platform_processes.h"
 #include "tests/platform/stand_in_callers.h"
 
@@ -245,6 +246,7 @@
 // One seed in CI; more by the environment, such as KCT_SOAK_SEEDS="2 3 4".
 std::vector<std::uint32_t> soakSeeds()
 {
+    // NOLINTNEXTLINE(concurrency-mt-unsafe): nothing changes the environment
     const char *const given = std::getenv("KCT_SOAK_SEEDS");
     std::istringstream text(given == nullptr ? "1" : given);
     std::vector<std::uint32_t> seeds;
--- a/tests/platform/platform_processes.cpp
+++ b/tests/platform/platform_processes.cpp
@@ -36,6 +36,7 @@
 // The program under test: the one built beside this test, unless the environment names another.
 std::string programPath()
 {
+    // NOLINTNEXTLINE(concurrency-mt-unsafe): nothing changes the environment
     if (const char *const chosen = std::getenv("KCT_PLATFORM_PROGRAM"))
         return chosen;
     const auto self = std::filesystem::read_symlink("/proc/self/exe");
@@ -50,14 +51,15 @@
 // Where the settings and logs of the processes stay after a run; empty when nowhere.
 std::string keptFolder()
 {
+    // NOLINTNEXTLINE(concurrency-mt-unsafe): nothing changes the environment
     const char *const chosen = std::getenv("KCT_SOAK_LOGS");
     return chosen == nullptr ? std::string() : chosen;
 }
 
 } // namespace
 
-platform_process::platform_process(std::string name, std::string role, const std::string &settings,
-                                   const std::string &folder)
+platform_process::platform_process(const std::string &name, std::string role,
+                                   const std::string &settings, const std::string &folder)
     : m_program(programPath())
     , m_role(std::move(role))
     , m_settingsPath(folder + "/" + name + ".ini")
--- a/tests/platform/platform_processes.h
+++ b/tests/platform/platform_processes.h
@@ -19,7 +19,7 @@
 {
 public:
     // `role` is "control" or "entry". The settings and the log are files in `folder`.
-    platform_process(std::string name, std::string role, const std::string &settings,
+    platform_process(const std::string &name, std::string role, const std::string &settings,
                      const std::string &folder);
     ~platform_process();
     platform_process(platform_process &&other) noexcept;
--- a/tests/platform/stand_in_callers.cpp
+++ b/tests/platform/stand_in_callers.cpp
@@ -1,5 +1,7 @@
 #include "tests/platform/stand_in_callers.h"
 
+#include "kingcuptiller/relay/http_types.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
