Expect the queue that an upstream of unknown load may have

Requests on added routes were sent into queues that their entry expected to be empty, and ended there (time_over). Where an upstream has not reported lately, its load was taken to be the average of its region, and its queue that of an average upstream. But the queue of the average is not the average queue: with loads of 1 and 13 at nine slots it is 0, and 278 ms on average.

An entry now learns how far the reports of a service and region lie around their average, and expects the mean queue over the loads that are likely, the more so the older the upstream's own report is.

--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -224,10 +224,14 @@
     {
         // Running and waiting requests per slot at the time of the last report.
         double requestsPerSlot = 0;
+        // The variance of the reports around the average.
+        double variance = 0;
         instant lastReport;
 
         // The requests per slot at `now`, which decay exponentially after the last report.
         [[nodiscard]] double at(instant now) const;
+        // The standard deviation of the requests per slot at `now`, which decays alike.
+        [[nodiscard]] double deviationAt(instant now) const;
         void add(double load, instant now);
     };
 
@@ -392,7 +396,12 @@
     [[nodiscard]] double distancePenalty(const upstream_record &upstream,
                                          const service_record &service,
                                          const std::string &route) const;
-    // The expected number of requests that each slot finishes before it can start a new one.
+    // The standard deviation of `estimatedLoad`: 0 right after a report, and the deviation of the
+    // loads in the region when the last report is old.
+    [[nodiscard]] static double loadDeviation(const upstream_record &upstream, instant now);
+    // The expected number of requests that each slot finishes before it can start a new one. While
+    // the load is uncertain, it is the mean over the loads that are likely: a queue that may be
+    // there is not made up for by slots that may be free.
     [[nodiscard]] static double queueRounds(const upstream_record &upstream, instant now);
     // The expected time in the upstream's queue.
     [[nodiscard]] static time_estimate expectedQueueTime(const upstream_record &upstream,
--- a/src/relay/upstream_loads.cpp
+++ b/src/relay/upstream_loads.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 
 // Load estimates of `upstream_choice`. Upstreams report their load with each answer. With many
 // entries, each entry gets few reports of any one upstream, so the estimates rely mostly on the
@@ -31,6 +32,18 @@
     return std::max(internal::toMs(now - earlier), 0.0);
 }
 
+// The mean of the positive values, with 0 for the others, of a normal distribution.
+double meanOfPositivePart(double mean, double deviation)
+{
+    if (deviation <= 0)
+        return std::max(mean, 0.0);
+    const double ratio = mean / deviation;
+    const double density =
+        std::exp(-ratio * ratio / 2) * std::numbers::inv_sqrtpi / std::numbers::sqrt2;
+    const double probability = std::erfc(-ratio / std::numbers::sqrt2) / 2;
+    return std::max(mean * probability + deviation * density, 0.0);
+}
+
 } // namespace
 
 double upstream_choice::average_load::at(instant now) const
@@ -38,9 +51,16 @@
     return requestsPerSlot * std::exp(-ageMs(lastReport, now) / averageLoadDecayMs);
 }
 
+double upstream_choice::average_load::deviationAt(instant now) const
+{
+    return std::sqrt(variance) * std::exp(-ageMs(lastReport, now) / averageLoadDecayMs);
+}
+
 void upstream_choice::average_load::add(double load, instant now)
 {
-    requestsPerSlot += (load - requestsPerSlot) * averageLoadWeight;
+    const double difference = load - requestsPerSlot;
+    requestsPerSlot += difference * averageLoadWeight;
+    variance = (1 - averageLoadWeight) * (variance + difference * difference * averageLoadWeight);
     lastReport = now;
 }
 
@@ -74,10 +94,20 @@
     return 1 + (upstream.reportedWorkTime - 1) * weight;
 }
 
+double upstream_choice::loadDeviation(const upstream_record &upstream, instant now)
+{
+    const double deviation = upstream.averageLoad->deviationAt(now) * upstream.incarnation.slots;
+    if (!upstream.lastReport)
+        return deviation;
+    const double weight = std::exp(-ageMs(*upstream.lastReport, now) / reportDecayMs);
+    return deviation * std::sqrt(1 - weight * weight);
+}
+
 double upstream_choice::queueRounds(const upstream_record &upstream, instant now)
 {
     const double slots = std::max<double>(upstream.incarnation.slots, 1);
-    return std::max(estimatedLoad(upstream, now) + 1 - slots, 0.0) / slots;
+    const double excess = estimatedLoad(upstream, now) + 1 - slots;
+    return meanOfPositivePart(excess, loadDeviation(upstream, now)) / slots;
 }
 
 time_estimate upstream_choice::expectedQueueTime(const upstream_record &upstream,
