--- a/src/relay/traffic_server.cpp
+++ b/src/relay/traffic_server.cpp
@@ -231,7 +231,13 @@
     if (isLarge != client.bodyIsLarge)
         client.heldBytes = (isLarge ? m_largeBodies : m_smallBodies).open();
     client.bodyIsLarge = isLarge;
-    return client.heldBytes.resize(bytes);
+    if (client.heldBytes.resize(bytes))
+        return true;
+    log_line(log_level::warning, "traffic", "body_rejected")
+        .field("bytes", bytes)
+        .field("held_large", m_largeBodies.heldBytes())
+        .field("held_small", m_smallBodies.heldBytes());
+    return false;
 }
 
 asio::awaitable<bool> traffic_server::readBody(session &client,
--- a/tests/relay/held_requests_test.cpp
+++ b/tests/relay/held_requests_test.cpp
@@ -1,3 +1,4 @@
+#include "kingcuptiller/relay/traffic_server.h"
 #include "tests/relay/relay_fixture.h"
 #include "tests/support/scripted_server.h"
 
