--- a/tests/relay/traffic_split_test.cpp
+++ b/tests/relay/traffic_split_test.cpp
@@ -75,6 +75,7 @@
 {
     std::mt19937 random(42);
     std::vector<traffic_split> entries;
+    entries.reserve(static_cast<std::size_t>(scenario.entries));
     for (int i = 0; i < scenario.entries; ++i)
         entries.push_back(makeSplit(random));
     std::string failures;
@@ -145,9 +146,7 @@
     // Guards against a part that starts again, or misses requests, with each new process.
     void restartsAndJoinsDoNotChangeTheShares()
     {
-        std::vector<split_phase> rolling;
-        for (int i = 0; i < 8; ++i)
-            rolling.push_back({{{"a", 75}, {"b", 25}}, 300, 113});
+        const std::vector<split_phase> rolling(8, {{{"a", 75}, {"b", 25}}, 300, 113});
         CPPUNIT_ASSERT_EQUAL(
             std::string(),
             findWrongShares("all restart", {{mostlyA, 1'000}, {mostlyA, 300, 113}})
@@ -177,9 +176,9 @@
         std::mt19937 random(42);
         traffic_split split = makeSplit(random);
         const traffic_route route = routeWith({{"a", 85}, {"b", 15}});
-        std::vector<int> gotB;
-        for (int i = 0; i < 2'000; ++i)
-            gotB.push_back(split.assign(route).text() == "b" ? 1 : 0);
+        std::vector<int> gotB(2'000);
+        for (int &each : gotB)
+            each = split.assign(route).text() == "b" ? 1 : 0;
         constexpr std::size_t span = 50;
         for (std::size_t first = 0; first + span <= gotB.size(); ++first) {
             int count = 0;
