Share the set-up of one-region tests; test a part without upstreams

Four tests of the choice built the same settings and upstreams; they share one_region.h now, with the same values (service_times_test gives its upstreams a sequence as before, the others gained it and an address). New: partWithoutUpstreamsKeepsItsRequests: what a part cannot serve is rejected and not moved.

--- a/tests/relay/changed_configuration_test.cpp
+++ b/tests/relay/changed_configuration_test.cpp
@@ -1,4 +1,5 @@
 #include "kingcuptiller/relay/upstream_choice.h"
+#include "tests/relay/one_region.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -35,27 +36,11 @@
 fleet_view viewWith(const std::vector<std::string> &upstreams)
 {
     fleet_view view;
-    for (const std::string &id : upstreams) {
-        upstream_incarnation incarnation;
-        incarnation.id = upstream_id(id);
-        incarnation.startTimeMs = 1;
-        incarnation.service = lookups;
-        incarnation.zone = zone_name("a");
-        incarnation.slots = 1;
-        view.upstreams.push_back(incarnation);
-    }
+    for (const std::string &id : upstreams)
+        view.upstreams.push_back(makeUpstream(id, lookups, 1));
     return view;
 }
 
-upstream_choice_settings settings()
-{
-    upstream_choice_settings result;
-    result.region = region_name("r");
-    result.zone = zone_name("a");
-    result.regions = {{zone_name("a"), region_name("r")}};
-    return result;
-}
-
 struct key_case
 {
     std::string name;
@@ -99,7 +84,7 @@
     void serviceThatReturnsWithOtherUpstreamsIsLearntAnew()
     {
         instant now{std::chrono::seconds(100)};
-        upstream_choice choices(settings());
+        upstream_choice choices(oneRegionSettings());
         const upstream_choice_request request{
             lookups, "", {}, milliseconds(600), milliseconds(60'000), {}, std::nullopt, routeKey};
         const auto expectedTime = [&] {
--- a/tests/relay/crowded_service_test.cpp
+++ b/tests/relay/crowded_service_test.cpp
@@ -1,4 +1,5 @@
 #include "kingcuptiller/relay/upstream_choice.h"
+#include "tests/relay/one_region.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
@@ -62,20 +63,10 @@
         configuration.services = {{lookups, 390, milliseconds(0), 0}};
         fleet_view view;
         for (int i = 0; i < scenario.upstreams; ++i) {
-            upstream_incarnation incarnation;
-            incarnation.id = upstream_id(fmt::format("u{:03}", i));
-            incarnation.startTimeMs = 1;
-            incarnation.address = endpoint_address("10.0.0.1:80");
-            incarnation.service = lookups;
-            incarnation.zone = zone_name("a");
-            incarnation.slots = slots;
-            view.upstreams.push_back(incarnation);
-            m_upstreamIndexes[incarnation.id] = static_cast<std::size_t>(i);
+            view.upstreams.push_back(makeUpstream(fmt::format("u{:03}", i), lookups, slots));
+            m_upstreamIndexes[view.upstreams.back().id] = static_cast<std::size_t>(i);
         }
-        upstream_choice_settings settings;
-        settings.region = region_name("r");
-        settings.zone = zone_name("a");
-        settings.regions = {{zone_name("a"), region_name("r")}};
+        upstream_choice_settings settings = oneRegionSettings();
         for (int i = 0; i < scenario.entries; ++i) {
             settings.entrySeed = static_cast<std::uint64_t>(i) + 1;
             m_entries.push_back(std::make_unique<upstream_choice>(settings));
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -56,15 +56,18 @@
         traffic_configuration configuration;
         configuration.version = revision_number(1);
         configuration.limits.bodyBytes = bodyLimit;
-        configuration.services = {{service_name("s"), 390, milliseconds(0), 0}};
-        for (const bool idempotent : {true, false}) {
+        configuration.services = {{service_name("s"), 390, milliseconds(0), 0},
+                                  {service_name("absent"), 390, milliseconds(0), 0}};
+        for (const std::string name : {"reads", "writes", "halves"}) {
             traffic_route route;
-            route.name = idempotent ? "reads" : "writes";
+            route.name = name;
             route.host = "a.example";
             route.pathPrefix = "/" + route.name + "/";
-            route.idempotent = idempotent;
+            route.idempotent = name == "reads";
             route.timeout = milliseconds(60'000);
             route.weightedServices = {{service_name("s"), 1}};
+            if (name == "halves")
+                route.weightedServices.push_back({service_name("absent"), 1});
             route.maximumAttempts = attempts;
             configuration.routes.push_back(route);
         }
@@ -113,8 +116,9 @@
         asio::post(m_context, [this] { m_relay.runPeriodicTasks(); });
     }
 
-    // Returns a POST request for the route "reads" or "writes". `remainingTime` is sent as its
-    // remaining time. An empty `id` omits the request id.
+    // Returns a POST request for the route "reads", "writes" or "halves". The last one is not
+    // idempotent and gives half of its requests to a service without upstreams. `remainingTime` is
+    // sent as its remaining time. An empty `id` omits the request id.
     std::string makeRequest(const std::string &route,
                             milliseconds remainingTime = milliseconds(4'000),
                             const std::string &id = "7")
--- a/tests/relay/request_relay_test.cpp
+++ b/tests/relay/request_relay_test.cpp
@@ -11,8 +11,10 @@
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
 #include <mutex>
 #include <optional>
+#include <string>
 #include <thread>
 
 using namespace kingcuptiller;
@@ -42,6 +44,7 @@
     CPPUNIT_TEST(bodyAboveLimitIsRejectedUnread);
     CPPUNIT_TEST(malformedRequestIsRejected);
     CPPUNIT_TEST(upstreamConnectionIsClosedAfterClientDisconnects);
+    CPPUNIT_TEST(partWithoutUpstreamsKeepsItsRequests);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -224,6 +227,19 @@
         CPPUNIT_ASSERT_EQUAL(0, upstream.requests());
     }
 
+    // Guards against requests that move to another part of a split route.
+    void partWithoutUpstreamsKeepsItsRequests()
+    {
+        scripted_server upstream([](int, const std::string &) { return completeResponse; });
+        relay_fixture relay(upstream.port());
+        std::map<std::string, int> statuses;
+        for (int i = 0; i < 40; ++i)
+            ++statuses[statusCodeOf(relay.sendAndReadAll(relay.makeRequest("halves")))];
+        CPPUNIT_ASSERT_EQUAL(40, statuses["200"] + statuses["503"]);
+        CPPUNIT_ASSERT_EQUAL(statuses["200"], upstream.requests());
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(20, statuses["200"], 4);
+    }
+
     // Guards against upstreams that keep working on requests whose clients have disconnected.
     void upstreamConnectionIsClosedAfterClientDisconnects()
     {
--- a/tests/relay/service_times_test.cpp
+++ b/tests/relay/service_times_test.cpp
@@ -1,5 +1,6 @@
 #include "kingcuptiller/relay/service_times.h"
 #include "kingcuptiller/relay/upstream_choice.h"
+#include "tests/relay/one_region.h"
 
 #include "../../src/relay/header_text.h"
 
@@ -22,32 +23,17 @@
 struct idle_service
 {
     explicit idle_service(milliseconds coldTime)
-        : choices(settings())
+        : choices(oneRegionSettings())
     {
         fleet_view view;
         for (int i = 0; i < 3; ++i) {
-            upstream_incarnation incarnation;
-            incarnation.id = upstream_id(fmt::format("u{}", i));
-            incarnation.startTimeMs = 1;
-            incarnation.sequence = 1;
-            incarnation.service = lookups;
-            incarnation.zone = zone_name("a");
-            incarnation.slots = 3;
+            upstream_incarnation incarnation = makeUpstream(fmt::format("u{}", i), lookups, 3);
             incarnation.coldRemaining = coldTime;
             view.upstreams.push_back(incarnation);
         }
         choices.update(view, route_table(traffic_configuration{}), now);
     }
 
-    static upstream_choice_settings settings()
-    {
-        upstream_choice_settings result;
-        result.region = region_name("r");
-        result.zone = zone_name("a");
-        result.regions = {{zone_name("a"), region_name("r")}};
-        return result;
-    }
-
     std::optional<chosen_upstream> choose(const std::string &object, milliseconds target,
                                           milliseconds timeLimit)
     {
--- a/tests/relay/uncertain_load_test.cpp
+++ b/tests/relay/uncertain_load_test.cpp
@@ -1,4 +1,5 @@
 #include "kingcuptiller/relay/upstream_choice.h"
+#include "tests/relay/one_region.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
@@ -42,18 +43,11 @@
 {
 public:
     explicit reported_service(const std::vector<std::uint32_t> &loads)
-        : m_choices(settings())
+        : m_choices(oneRegionSettings())
     {
         fleet_view view;
-        for (int i = 0; i <= reportingUpstreams; ++i) {
-            upstream_incarnation incarnation;
-            incarnation.id = upstream_id(fmt::format("u{}", i));
-            incarnation.startTimeMs = 1;
-            incarnation.service = lookups;
-            incarnation.zone = zone_name("a");
-            incarnation.slots = slots;
-            view.upstreams.push_back(incarnation);
-        }
+        for (int i = 0; i <= reportingUpstreams; ++i)
+            view.upstreams.push_back(makeUpstream(fmt::format("u{}", i), lookups, slots));
         m_choices.update(view, route_table(traffic_configuration{}), m_now);
         for (int i = 0; i < reportRounds * reportingUpstreams; ++i) {
             const upstream_id id(fmt::format("u{}", i % reportingUpstreams));
@@ -78,15 +72,6 @@
     }
 
 private:
-    static upstream_choice_settings settings()
-    {
-        upstream_choice_settings result;
-        result.region = region_name("r");
-        result.zone = zone_name("a");
-        result.regions = {{zone_name("a"), region_name("r")}};
-        return result;
-    }
-
     instant m_now{std::chrono::seconds(100)};
     upstream_choice m_choices;
 };
