--- a/include/kingcuptiller/relay/request_relay.h
+++ b/include/kingcuptiller/relay/request_relay.h
@@ -6,9 +6,9 @@
 #include "kingcuptiller/relay/request_metrics.h"
 #include "kingcuptiller/relay/shared_retry_budget.h"
 #include "kingcuptiller/relay/traffic_server.h"
-#include "kingcuptiller/relay/traffic_split.h"
 #include "kingcuptiller/relay/upstream_choice.h"
 #include "kingcuptiller/relay/upstream_connections.h"
+#include "kingcuptiller/relay/weighted_split.h"
 #include "kingcuptiller/telemetry/counters.h"
 #include "kingcuptiller/values/time.h"
 
@@ -148,7 +148,7 @@
     std::shared_ptr<const route_table> m_routes;
     client_limits m_limits;
     revision_number m_configurationVersion;
-    traffic_split m_trafficSplit;
+    weighted_split m_weightedSplit;
 };
 
 } // namespace kingcuptiller
--- a/include/kingcuptiller/relay/traffic_split.h
+++ b/include/kingcuptiller/relay/weighted_split.h
@@ -37,11 +37,11 @@
 // ratio, modulo 1, so that any sequence of consecutive positions covers the interval evenly. Thus
 // new weights hold from the next request on. The first position is random, so that the first
 // requests of many entries follow the weights too. Not thread-safe.
-class traffic_split
+class weighted_split
 {
 public:
     // `seed` must differ between entries, and between runs of one entry.
-    explicit traffic_split(std::uint64_t seed)
+    explicit weighted_split(std::uint64_t seed)
         : m_random(seed)
     {
     }
--- a/src/relay/request_outcomes.cpp
+++ b/src/relay/request_outcomes.cpp
@@ -134,7 +134,7 @@
     const auto elapsed =
         std::chrono::duration_cast<milliseconds>(m_options.now() - progress.arrivedAt);
     m_metrics.recordRequestEnd(progress.service, outcome, reason, elapsed);
-    m_trafficSplit.recordEnd(progress.route, progress.service, outcome);
+    m_weightedSplit.recordEnd(progress.route, progress.service, outcome);
     log_line line(log_level::info, "relay", "request_ended");
     line.field("request", toStringView(progress.request[m_options.headers.requestId]))
         .field("route", progress.route.name)
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -66,7 +66,7 @@
     , m_heldResponseBytes(m_options.maximumHeldResponseBytes)
     , m_heldResponseBytesGauge(counters.get("kct_relay_held_response_bytes"))
     , m_processEndTimer(context)
-    , m_trafficSplit(m_options.runSeed)
+    , m_weightedSplit(m_options.runSeed)
 {
 }
 
@@ -75,7 +75,7 @@
 {
     if (configuration && (m_routes == nullptr || configuration->version > m_configurationVersion)) {
         m_routes = std::make_shared<const route_table>(*configuration);
-        m_trafficSplit.update(*m_routes);
+        m_weightedSplit.update(*m_routes);
         m_limits = configuration->limits;
         m_configurationVersion = configuration->version;
     }
@@ -100,7 +100,7 @@
             .field("first", flow.firstAttempts)
             .field("repeated", flow.retryAttempts);
     }
-    for (const split_part_counts &part : m_trafficSplit.take()) {
+    for (const split_part_counts &part : m_weightedSplit.take()) {
         log_line(log_level::info, "relay", "route_split")
             .field("route", part.route)
             .field("service", part.service.text())
@@ -152,7 +152,7 @@
         client,
         *route,
         route->key(),
-        m_trafficSplit.assign(*route),
+        m_weightedSplit.assign(*route),
         route->affinity ? std::string(toStringView(request[m_options.headers.object]))
                         : std::string(),
         now,
--- a/src/relay/traffic_split.cpp
+++ b/src/relay/weighted_split.cpp
@@ -1,4 +1,4 @@
-#include "kingcuptiller/relay/traffic_split.h"
+#include "kingcuptiller/relay/weighted_split.h"
 
 #include <cmath>
 #include <numbers>
@@ -23,12 +23,12 @@
 
 } // namespace
 
-void traffic_split::update(const route_table &routes)
+void weighted_split::update(const route_table &routes)
 {
     std::erase_if(m_positions, [&](const auto &each) { return !routes.contains(each.first); });
 }
 
-double traffic_split::nextPosition(const traffic_route &route)
+double weighted_split::nextPosition(const traffic_route &route)
 {
     const auto [found, isNew] = m_positions.try_emplace(route.key(), 0.0);
     double &position = found->second;
@@ -37,7 +37,7 @@
     return position;
 }
 
-const service_name &traffic_split::assign(const traffic_route &route)
+const service_name &weighted_split::assign(const traffic_route &route)
 {
     if (!isSplit(route))
         return route.weightedServices.front().service;
@@ -60,8 +60,8 @@
     return chosen->service;
 }
 
-void traffic_split::recordEnd(const traffic_route &route, const service_name &service,
-                              std::string_view outcome)
+void weighted_split::recordEnd(const traffic_route &route, const service_name &service,
+                               std::string_view outcome)
 {
     if (!isSplit(route))
         return;
@@ -71,7 +71,7 @@
     counts.refused += outcome == "refused" ? 1 : 0;
 }
 
-std::vector<split_part_counts> traffic_split::take()
+std::vector<split_part_counts> weighted_split::take()
 {
     std::vector<split_part_counts> result;
     for (auto &[key, parts] : std::exchange(m_counts, {})) {
--- a/tests/relay/traffic_split_test.cpp
+++ b/tests/relay/weighted_split_test.cpp
@@ -1,4 +1,4 @@
-#include "kingcuptiller/relay/traffic_split.h"
+#include "kingcuptiller/relay/weighted_split.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
@@ -44,13 +44,13 @@
     return route;
 }
 
-traffic_split makeSplit(std::mt19937 &random)
+weighted_split makeSplit(std::mt19937 &random)
 {
-    return traffic_split(random());
+    return weighted_split(random());
 }
 
 // Sends each request of a phase to a random entry. Returns the number that each service got.
-std::map<std::string, int> play(const split_phase &phase, std::vector<traffic_split> &entries,
+std::map<std::string, int> play(const split_phase &phase, std::vector<weighted_split> &entries,
                                 std::mt19937 &random)
 {
     const traffic_route route = routeWith(phase.weights);
@@ -74,7 +74,7 @@
 std::string findWrongShares(const split_case &scenario)
 {
     std::mt19937 random(42);
-    std::vector<traffic_split> entries;
+    std::vector<weighted_split> entries;
     entries.reserve(static_cast<std::size_t>(scenario.entries));
     for (int i = 0; i < scenario.entries; ++i)
         entries.push_back(makeSplit(random));
@@ -109,9 +109,9 @@
 
 } // namespace
 
-class traffic_split_test : public CppUnit::TestFixture
+class weighted_split_test : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(traffic_split_test);
+    CPPUNIT_TEST_SUITE(weighted_split_test);
     CPPUNIT_TEST(changedWeightsHoldFromTheNextRequestOn);
     CPPUNIT_TEST(fewRequestsOfManyEntriesFollowTheWeights);
     CPPUNIT_TEST(restartsAndJoinsDoNotChangeTheShares);
@@ -174,7 +174,7 @@
     void everySpanOfOneEntryFollowsTheWeights()
     {
         std::mt19937 random(42);
-        traffic_split split = makeSplit(random);
+        weighted_split split = makeSplit(random);
         const traffic_route route = routeWith({{"a", 85}, {"b", 15}});
         std::vector<int> gotB(2'000);
         for (int &each : gotB)
@@ -191,7 +191,7 @@
     void partsWithoutWeightGetNothing()
     {
         std::mt19937 random(42);
-        traffic_split split = makeSplit(random);
+        weighted_split split = makeSplit(random);
         const traffic_route route = routeWith({{"a", 0}, {"b", 3}, {"c", 0}});
         for (int i = 0; i < 200; ++i)
             CPPUNIT_ASSERT_EQUAL(std::string("b"), split.assign(route).text());
@@ -200,7 +200,7 @@
     void countsOfPartsAreTakenOnce()
     {
         std::mt19937 random(42);
-        traffic_split split = makeSplit(random);
+        weighted_split split = makeSplit(random);
         const traffic_route single = routeWith({{"a", 1}});
         split.recordEnd(single, split.assign(single), "answered");
         CPPUNIT_ASSERT(split.take().empty());
@@ -213,4 +213,4 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(traffic_split_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(weighted_split_test);
