--- a/include/kingcuptiller/relay/traffic_server.h
+++ b/include/kingcuptiller/relay/traffic_server.h
@@ -63,9 +63,9 @@
 // An HTTP/1.1 server that listens on one address and runs entirely in the thread that runs
 // `context`. It reads each request completely and handles the requests of a connection one after
 // another. For a malformed request, or one that exceeds the limits, it sends 400, 408, 413 or 431
-// and closes the connection; where the bodies of all requests would take too much memory, 503. A
-// request whose client has closed the connection before the request is
-// read, as happens while this process is suspended, is dropped without being handled.
+// and closes the connection; where the bodies of all requests would take too much memory, 503 with
+// Retry-After. A request whose client has closed the connection before the request is read, as
+// happens while this process is suspended, is dropped without being handled.
 class traffic_server
 {
 public:
@@ -107,9 +107,8 @@
     // Counts the body of `client` with `bytes`, instead of its bytes so far. Returns false when
     // they do not fit into the budget for bodies of this size.
     [[nodiscard]] bool holdBody(session &client, std::uint64_t bytes);
-    // Reads the body that follows a header, and counts it. Returns false when it does not fit
-    // into the budget for bodies of its size; sets `errorCode` when
-    // reading fails.
+    // Reads the body that follows a header, and counts it. Returns false when it does not fit into
+    // the budget for bodies of its size; sets `errorCode` when reading fails.
     boost::asio::awaitable<bool>
     readBody(session &client,
              boost::beast::http::request_parser<boost::beast::http::string_body> &parser,
--- a/src/relay/traffic_server.cpp
+++ b/src/relay/traffic_server.cpp
@@ -202,10 +202,13 @@
 
 asio::awaitable<bool> traffic_server::sendErrorResponse(session &client, http::status status)
 {
+    const bool isUnavailable = status == http::status::service_unavailable;
     relay_response response =
-        makeTextResponse(status, "the request breaks a limit or is malformed\n");
+        makeTextResponse(status,
+                         isUnavailable ? "not run: no memory for the body at present\n"
+                                       : "the request breaks a limit or is malformed\n");
     response.keep_alive(false);
-    if (status == http::status::service_unavailable)
+    if (isUnavailable)
         response.set(http::field::retry_after, retryAfterHeldBytes);
     error_code errorCode;
     client.stream.expiresAfter(writeTimeout);
