--- a/include/kingcuptiller/relay/traffic_server.h
+++ b/include/kingcuptiller/relay/traffic_server.h
@@ -113,8 +113,8 @@
     readBody(session &client,
              boost::beast::http::request_parser<boost::beast::http::string_body> &parser,
              boost::system::error_code &errorCode);
-    // Reads and discards what the client still sends, for a short time: a connection that is closed
-    // with unread bytes is reset, and the client may lose the response.
+    // Reads and discards a body that is within the limits, for a short time: a connection that is
+    // closed with unread bytes is reset, and the client may lose the response.
     boost::asio::awaitable<void> discardInput(session &client);
     // Sends a response with `status` that closes the connection. Always returns false.
     boost::asio::awaitable<bool> sendErrorResponse(session &client,
--- a/src/relay/traffic_server.cpp
+++ b/src/relay/traffic_server.cpp
@@ -32,7 +32,7 @@
 constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 // Time for writing a response; the connection of a client that reads more slowly is closed.
 constexpr std::chrono::seconds writeTimeout{10};
-// How long input is discarded after an error response, and the size of one read.
+// How long input is discarded after 503, and the size of one read.
 constexpr milliseconds discardTime{1'000};
 constexpr std::size_t discardedBytesPerRead = 65'536;
 // A body up to this size, in bytes, is small. All small bodies together may take this part of the
@@ -213,7 +213,7 @@
     error_code errorCode;
     client.stream.expiresAfter(writeTimeout);
     co_await http::async_write(client.stream, response, redirectErrorTo(errorCode));
-    if (!errorCode)
+    if (!errorCode && isUnavailable)
         co_await discardInput(client);
     co_return false;
 }
