--- a/tests/platform/changing_weights_test.cpp
+++ b/tests/platform/changing_weights_test.cpp
@@ -120,27 +120,27 @@
 private:
     bool apply(const weight_phase &phase)
     {
-        std::optional<std::size_t> restarted;
+        std::optional<std::size_t> startedEntry;
         if (phase.change == disruption::entry_restarts) {
-            restarted = m_inUse.at(
+            startedEntry = m_inUse.at(
                 std::uniform_int_distribution<std::size_t>(0, m_inUse.size() - 1)(m_random));
             std::vector<std::size_t> others = m_inUse;
-            std::erase(others, *restarted);
+            std::erase(others, *startedEntry);
             m_callers.setEntries(others);
             std::this_thread::sleep_for(callLimit);
-            m_processes.entry(*restarted).kill();
+            m_processes.entry(*startedEntry).kill();
         }
         if (phase.change == disruption::route_returns && !configure("", phaseLimit))
             return false;
         if (!configure(routeResource(phase.weights), phaseLimit))
             return false;
         if (phase.change == disruption::entry_joins) {
-            restarted = lateEntry;
+            startedEntry = lateEntry;
             m_inUse.push_back(lateEntry);
         }
-        if (restarted) {
-            m_processes.entry(*restarted).start();
-            if (!waitUntilReady(*restarted))
+        if (startedEntry) {
+            m_processes.entry(*startedEntry).start();
+            if (!waitUntilReady(*startedEntry))
                 return false;
             m_callers.setEntries(m_inUse);
         }
--- a/tests/platform/platform_processes.h
+++ b/tests/platform/platform_processes.h
@@ -7,7 +7,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <string>
 #include <vector>
 
--- a/tests/platform/stand_in_callers.h
+++ b/tests/platform/stand_in_callers.h
@@ -12,7 +12,6 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <mutex>
 #include <optional>
 #include <random>
