--- a/include/kingcuptiller/fleet/traffic_configuration.h
+++ b/include/kingcuptiller/fleet/traffic_configuration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kingcuptiller/accounts/client_account.h"
 #include "kingcuptiller/values/identifiers.h"
 #include "kingcuptiller/values/time.h"
 
@@ -52,6 +53,8 @@
     bool affinity = false;
     // Regions whose upstreams may receive the requests; empty for all regions.
     std::set<region_name> regions;
+    // Whether requests are served without the key of a client account.
+    bool isPublic = false;
 
     // Identifies the requests of the route in all configurations. Two routes never share it, and it
     // is not used again for other requests, as a name may be.
@@ -99,6 +102,9 @@
     revision_number base;
     std::vector<traffic_route> routes;
     std::vector<service_settings> services;
+    // Client accounts. If there are any, a request needs the key of one, unless its route is
+    // public.
+    std::vector<client_account> accounts;
     client_limits limits;
 
     bool operator==(const traffic_configuration &) const = default;
--- a/include/kingcuptiller/values/identifiers.h
+++ b/include/kingcuptiller/values/identifiers.h
@@ -82,6 +82,9 @@
 // A group of upstreams that serve the same requests.
 using service_name = text_identifier<struct service_name_tag>;
 
+// A customer on whose behalf clients send requests.
+using account_name = text_identifier<struct account_name_tag>;
+
 // Work and operators' changes.
 using class_name = text_identifier<struct class_name_tag>;
 using request_key = text_identifier<struct request_key_tag>;
