Serve requests by the key of a client account

Configurations may hold accounts. An entry finds the account of a request by the digest of its key, answers 401 without a valid one, and sends the account's name in place of the key to the upstream. The regions of account and route both bind. A route may be public.

Keys are looked up again before each attempt after a change of the configuration. With strict revocation an entry refuses requests that need a key once it has lost touch with control.

--- a/include/kingcuptiller/accounts/client_account.h
+++ b/include/kingcuptiller/accounts/client_account.h
@@ -4,11 +4,14 @@
 
 #include <array>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
+#include <cstring>
 #include <map>
 #include <optional>
 #include <set>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 // Client accounts: the customers on whose behalf clients send requests, and the keys by which
@@ -52,12 +55,19 @@
     bool operator==(const client_account &) const = default;
 };
 
-// Finds accounts by key and by name, in logarithmic time.
+// Returns the regions that two restrictions both allow; an empty set allows all regions. Returns
+// nothing if both name regions, but none in common.
+[[nodiscard]] std::optional<std::set<region_name>>
+commonRegions(const std::set<region_name> &one, const std::set<region_name> &other);
+
+// Finds accounts by key and by name.
 class account_table
 {
 public:
     account_table() = default;
     explicit account_table(std::vector<client_account> accounts);
+    account_table(const account_table &) = delete;
+    account_table &operator=(const account_table &) = delete;
 
     // Whether requests need no key, because the configuration has no accounts.
     [[nodiscard]] bool empty() const { return m_accounts.empty(); }
@@ -72,7 +82,18 @@
 
 private:
     std::map<account_name, client_account> m_accounts;
-    std::map<key_digest, account_name> m_accountsByKey;
+    // A digest is evenly distributed, so a part of it serves as its hash.
+    struct digest_hash
+    {
+        std::size_t operator()(const key_digest &digest) const
+        {
+            std::size_t hash = 0;
+            std::memcpy(&hash, digest.bytes.data(), sizeof hash);
+            return hash;
+        }
+    };
+
+    std::unordered_map<key_digest, const client_account *, digest_hash> m_accountsByKey;
 };
 
 } // namespace kingcuptiller
--- a/include/kingcuptiller/fleet/traffic_configuration.h
+++ b/include/kingcuptiller/fleet/traffic_configuration.h
@@ -112,7 +112,9 @@
 
 // Throws `error` with `change_malformed` when the configuration is invalid: a route without a host
 // or with a malformed prefix, an unknown service, a negative weight or no positive one, two routes
-// with the same host and prefix, a version that is not above its base, or times out of range.
+// with the same host and prefix, a version that is not above its base, times out of range, two
+// accounts with the same name or key, or an account with a rate or burst that is no number from 0
+// on.
 void checkConfiguration(const traffic_configuration &configuration);
 
 // Finds the route of a request: among the routes of the request's host, the one whose `pathPrefix`
@@ -128,6 +130,7 @@
     [[nodiscard]] const traffic_route *find(std::string_view host, std::string_view path) const;
     // Returns nullptr for an unknown service. The pointer is valid for the lifetime of this table.
     [[nodiscard]] const service_settings *service(const service_name &name) const;
+    [[nodiscard]] const account_table &accounts() const { return m_accounts; }
     // Whether a route with this key exists.
     [[nodiscard]] bool contains(const std::string &routeKey) const
     {
@@ -140,6 +143,7 @@
     std::map<std::string, std::vector<traffic_route>, std::less<>> m_routesByHost;
     std::set<std::string> m_routeKeys;
     std::map<service_name, service_settings> m_services;
+    account_table m_accounts;
 };
 
 } // namespace kingcuptiller
--- a/include/kingcuptiller/node/entry_node.h
+++ b/include/kingcuptiller/node/entry_node.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -58,6 +59,8 @@
     boost::asio::io_context &m_context;
     node_settings m_settings;
     entry_platform m_platform;
+    // Set by the thread of the feed.
+    std::atomic<instant> m_lastControlContact{instant()};
     request_relay m_relay;
     counter &m_viewCommands;
     counter &m_upstreams;
--- a/include/kingcuptiller/node/fleet_feed.h
+++ b/include/kingcuptiller/node/fleet_feed.h
@@ -28,6 +28,8 @@
     // How often hosts are asked while there is none or it is in doubt.
     milliseconds probeInterval{200};
     std::function<instant()> now;
+    // Called with the time of each answer of a control host that is current.
+    std::function<void(instant)> onContact{};
 };
 
 // An entry's connection to the control hosts: it reports the entry's state to one of them and
@@ -55,6 +57,7 @@
     void noteConnected(const host_id &host, boost::asio::ip::tcp::socket socket);
     void closeCandidates();
     void adopt(const host_id &host);
+    void noteContact();
     void receive(const frame &received);
     void drop(const char *reason);
     void sendPresence();
--- a/include/kingcuptiller/relay/request_relay.h
+++ b/include/kingcuptiller/relay/request_relay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kingcuptiller/accounts/authentication.h"
 #include "kingcuptiller/fleet/fleet_view.h"
 #include "kingcuptiller/fleet/traffic_configuration.h"
 #include "kingcuptiller/relay/region_flows.h"
@@ -47,6 +48,12 @@
     std::uint64_t runSeed = 0;
     // Returns the current time.
     std::function<instant()> now;
+    // The latest time at which a control host that is current answered; empty if that does not
+    // matter to the relay.
+    std::function<instant()> lastControlContact{};
+    // Without such an answer for this long, requests that need the key of an account are refused,
+    // because the key may have been revoked; nothing if known keys stay valid.
+    std::optional<milliseconds> revocationLimit{};
 };
 
 // Forwards client requests to upstreams: finds the route, chooses an upstream, sends the request,
@@ -58,6 +65,9 @@
 // If
 //   the request may have run, the client gets the failure response of the upstream if there is one,
 //   else 504 when the deadline has passed and 502 in other cases.
+// - If the configuration has client accounts, a request whose route is not public runs only with
+// the
+//   key of one. The upstream gets the name of the account and never the key.
 // - A success response is forwarded only when it is complete, carries the header that marks it as
 //   created by an upstream (`relay_headers::upstreamMarker`), and is the response to this request
 //   by its request id or by its connection (see `exchangeHttp`).
@@ -93,10 +103,23 @@
 
 private:
     struct last_attempt;
+    struct request_identity;
     // State of one client request while it is being forwarded.
     struct request_progress;
 
     [[nodiscard]] boost::asio::awaitable<relay_response> runAttempts(request_progress &progress);
+    [[nodiscard]] authentication_result authenticateRequest(const route_table &routes,
+                                                            const relay_request &request) const;
+    // Whether so much time has passed without news from control that keys may have been revoked.
+    [[nodiscard]] bool areKeysOutdated(instant now) const;
+    [[nodiscard]] relay_response rejectUnauthenticated(const relay_request &request,
+                                                       authentication_failure failure);
+    [[nodiscard]] relay_response refuseRevokedKey(request_progress &progress);
+    // Looks up the key of a request anew after a change of the configuration. Returns false if the
+    // request may not be sent any more.
+    [[nodiscard]] bool refreshIdentity(request_progress &progress) const;
+    // Removes the key from a request for an upstream, and sets the name of the account.
+    void setAccountHeaders(const request_identity &identity, relay_request &request) const;
     // Returns the time in which the response to an attempt that starts at `now` must be expected,
     // given the deadline of the request and the exit of the process.
     [[nodiscard]] milliseconds maximumExpectedDuration(const request_progress &progress,
@@ -133,6 +156,7 @@
     boost::asio::io_context &m_context;
     relay_options m_options;
     counter &m_requestsWithoutRoute;
+    counter &m_requestsWithoutAccount;
     counter &m_connectionsOpened;
     request_metrics m_metrics;
     region_flows m_regionFlows;
--- a/include/kingcuptiller/relay/upstream_connections.h
+++ b/include/kingcuptiller/relay/upstream_connections.h
@@ -45,6 +45,11 @@
     std::string retryAfter;
     // "1" in every response of an upstream that drains.
     std::string leaving;
+    // Carries the key of a client account, behind `authorizationScheme`.
+    std::string authorization{};
+    std::string authorizationScheme{};
+    // The name of the client's account, which the entry sets for the upstream.
+    std::string accountName{};
 
     bool operator==(const relay_headers &) const = default;
 };
--- a/include/kingcuptiller/settings/node_settings.h
+++ b/include/kingcuptiller/settings/node_settings.h
@@ -54,6 +54,11 @@
     double largestShift = 0.15;
     milliseconds shiftWindow{2'000};
 
+    // Whether an entry refuses requests that need the key of an account once it has heard nothing
+    // from control for `revocationLimit`, because the key may have been revoked.
+    bool strictRevocation = false;
+    milliseconds revocationLimit{5'000};
+
     log_level logLevel = log_level::info;
     std::vector<effective_setting> effective;
 };
--- a/src/fleet/traffic_configuration.cpp
+++ b/src/fleet/traffic_configuration.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cmath>
 #include <utility>
 
 namespace kingcuptiller {
@@ -46,6 +47,30 @@
         rejectConfiguration("route " + route.name + " has no service with a positive weight");
 }
 
+// The reasons name accounts, never keys: operators and logs see them.
+void checkAccounts(const std::vector<client_account> &accounts)
+{
+    std::set<account_name> names;
+    std::map<key_digest, account_name> holders;
+    for (const client_account &account : accounts) {
+        if (account.name.empty())
+            rejectConfiguration("an account has no name");
+        if (!names.insert(account.name).second)
+            rejectConfiguration("two accounts have the name " + account.name.text());
+        const account_rate_limit &limit = account.limit;
+        if (!std::isfinite(limit.requestsPerSecond) || limit.requestsPerSecond < 0
+            || !std::isfinite(limit.burst) || limit.burst < 0)
+            rejectConfiguration("account " + account.name.text()
+                                + " has a rate or burst that is negative or not a number");
+        for (const key_digest &key : account.keys) {
+            const auto [holder, isNew] = holders.emplace(key, account.name);
+            if (!isNew && holder->second != account.name)
+                rejectConfiguration("accounts " + holder->second.text() + " and "
+                                    + account.name.text() + " have the same key");
+        }
+    }
+}
+
 std::string lowerCaseHostWithoutPort(std::string_view host)
 {
     std::string result(host.substr(0, host.find(':')));
@@ -76,9 +101,11 @@
             rejectConfiguration("route " + route.name
                                 + " has the same host and path prefix as another route");
     }
+    checkAccounts(configuration.accounts);
 }
 
 route_table::route_table(const traffic_configuration &configuration)
+    : m_accounts(configuration.accounts)
 {
     for (const traffic_route &route : configuration.routes) {
         m_routesByHost[lowerCaseHostWithoutPort(route.host)].push_back(route);
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -10,6 +10,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <exception>
 #include <thread>
 #include <utility>
@@ -32,8 +33,11 @@
 // Response bodies take at most this part of the memory of the process, and so do request bodies,
 // which are copied once for the upstream.
 constexpr std::uint64_t heldBodiesDivisor = 4;
+// Part of the revocation limit that is left for the way of the last news to this entry.
+constexpr double revocationMargin = 0.2;
 
-relay_options relayOptions(const node_settings &settings, const entry_platform &platform)
+relay_options relayOptions(const node_settings &settings, const entry_platform &platform,
+                           const std::atomic<instant> &lastControlContact)
 {
     relay_options options;
     options.headers = platform.headers;
@@ -47,6 +51,11 @@
     options.retryBudget = {settings.retryShare, settings.retrySlack, settings.retryWindow};
     options.maximumHeldResponseBytes = settings.memoryBytes / heldBodiesDivisor;
     options.now = readInstant;
+    if (settings.strictRevocation) {
+        options.revocationLimit = milliseconds(std::llround(
+            static_cast<double>(settings.revocationLimit.count()) * (1 - revocationMargin)));
+        options.lastControlContact = [&lastControlContact] { return lastControlContact.load(); };
+    }
     return options;
 }
 
@@ -75,7 +84,8 @@
 public:
     feed_thread(const node_settings &settings, const endpoint_address &traffic,
                 std::function<traffic_configuration(const std::string &)> decode,
-                std::function<void(fleet_view, std::optional<traffic_configuration>)> onView)
+                std::function<void(fleet_view, std::optional<traffic_configuration>)> onView,
+                std::function<void(instant)> onContact)
         : m_decode(std::move(decode))
         , m_onView(std::move(onView))
         , m_work(asio::make_work_guard(m_context))
@@ -84,7 +94,8 @@
                      .seeds = settings.seeds,
                      .controlPort = settings.internalPort,
                      .entry = {traffic, settings.region, settings.zone, entry_state::joining},
-                     .now = readInstant},
+                     .now = readInstant,
+                     .onContact = std::move(onContact)},
                  [this](const fleet_view &view) { receive(view); })
         , m_thread([this] { m_context.run(); })
     {
@@ -133,7 +144,7 @@
     : m_context(context)
     , m_settings(settings)
     , m_platform(std::move(platform))
-    , m_relay(context, relayOptions(settings, m_platform), counters)
+    , m_relay(context, relayOptions(settings, m_platform, m_lastControlContact), counters)
     , m_viewCommands(counters.get("kct_entry_view_commands"))
     , m_upstreams(counters.get("kct_entry_upstreams"))
     , m_tick(context)
@@ -154,7 +165,8 @@
                        [this, view = std::move(view), configuration = std::move(configuration)] {
                            apply(view, configuration);
                        });
-        });
+        },
+        [this](instant contact) { m_lastControlContact = contact; });
     scheduleTick();
 }
 
--- a/src/node/fleet_feed.cpp
+++ b/src/node/fleet_feed.cpp
@@ -130,13 +130,20 @@
     if (m_connection)
         drop("silent");
     m_host = host;
-    m_heard = m_options.now();
+    noteContact();
     m_connection = chosen.mapped().connection;
     closeCandidates();
     log_line(log_level::info, "entry", "control_connected").field("host", host.text());
     sendPresence();
 }
 
+void fleet_feed::noteContact()
+{
+    m_heard = m_options.now();
+    if (m_options.onContact)
+        m_options.onContact(m_heard);
+}
+
 void fleet_feed::drop(const char *reason)
 {
     log_line(log_level::warning, "entry", "control_lost")
@@ -161,11 +168,11 @@
 
 void fleet_feed::receive(const frame &received)
 {
-    m_heard = m_options.now();
     if (received.kind == frame_kind::stale) {
         drop("without_leader");
         return;
     }
+    noteContact();
     closeCandidates();
     if (received.kind != frame_kind::view)
         return;
--- a/src/relay/request_progress.h
+++ b/src/relay/request_progress.h
@@ -9,6 +9,16 @@
 
 namespace kingcuptiller {
 
+// The client account of a request, by the configuration with `version`.
+struct request_relay::request_identity
+{
+    // Nothing if the request carries no key.
+    std::optional<key_digest> key;
+    // Nothing if the key is unknown, or the configuration has no accounts.
+    std::optional<client_account> account;
+    revision_number version;
+};
+
 // Data about the last attempt of a request for the log event request_ended.
 struct request_relay::last_attempt
 {
@@ -31,6 +41,10 @@
     service_name service;
     // Key of the object that the request concerns; empty when the route has no affinity.
     std::string object;
+    request_identity identity;
+    // Regions whose upstreams may receive the request; empty for all regions. Nothing if route and
+    // account have no region in common.
+    std::optional<std::set<region_name>> regions;
     instant arrivedAt;
     // Latest time at which the relay must have a response to return to the client.
     instant deadline;
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -58,6 +58,7 @@
     : m_context(context)
     , m_options(std::move(options))
     , m_requestsWithoutRoute(counters.get("kct_relay_requests_without_route"))
+    , m_requestsWithoutAccount(counters.get("kct_relay_requests_without_account"))
     , m_connectionsOpened(counters.get("kct_relay_connections_opened"))
     , m_metrics(counters)
     , m_regionFlows(counters)
@@ -144,6 +145,21 @@
         m_requestsWithoutRoute.add();
         co_return makeTextResponse(http::status::not_found, "no route matches\n");
     }
+    const bool needsKey = !routes->accounts().empty() && !route->isPublic;
+    if (needsKey && areKeysOutdated(now)) {
+        relay_response response =
+            makeTextResponse(http::status::service_unavailable, "not run: keys may be revoked\n");
+        response.set(m_options.headers.retryAfter, "0.5");
+        co_return response;
+    }
+    const authentication_result authentication = authenticateRequest(*routes, request);
+    if (needsKey && authentication.failure)
+        co_return rejectUnauthenticated(request, *authentication.failure);
+    request_identity identity{authentication.key, std::nullopt, m_configurationVersion};
+    if (authentication.account != nullptr)
+        identity.account = *authentication.account;
+    auto regions = commonRegions(
+        route->regions, identity.account ? identity.account->regions : std::set<region_name>());
     const auto clientTimeMs = parseInteger(toStringView(request[m_options.headers.remainingTime]));
     const milliseconds clientLimit = clientTimeMs && *clientTimeMs > 0 ? milliseconds(*clientTimeMs)
                                                                        : m_options.defaultTimeLimit;
@@ -155,6 +171,8 @@
         m_weightedSplit.assign(*route),
         route->affinity ? std::string(toStringView(request[m_options.headers.object]))
                         : std::string(),
+        std::move(identity),
+        std::move(regions),
         now,
         now + std::min(clientLimit, route->timeout) - m_options.responseReturnReserve,
         {},
@@ -168,6 +186,20 @@
     co_return co_await runAttempts(progress);
 }
 
+bool request_relay::refreshIdentity(request_progress &progress) const
+{
+    request_identity &identity = progress.identity;
+    if (identity.version == m_configurationVersion || !identity.key)
+        return true;
+    identity.version = m_configurationVersion;
+    const client_account *const account = m_routes->accounts().findByKey(*identity.key);
+    if (account == nullptr)
+        return m_routes->accounts().empty() || progress.route.isPublic;
+    identity.account = *account;
+    progress.regions = commonRegions(progress.route.regions, account->regions);
+    return true;
+}
+
 milliseconds request_relay::maximumExpectedDuration(const request_progress &progress,
                                                     instant now) const
 {
@@ -187,6 +219,13 @@
         const milliseconds maximumDuration = maximumExpectedDuration(progress, now);
         if (progress.client.hasDisconnected())
             co_return endWithUnknownOutcome(progress, "client_left");
+        if (!refreshIdentity(progress))
+            co_return progress.mayHaveRun ? endWithUnknownOutcome(progress, "key_revoked")
+                                          : refuseRevokedKey(progress);
+        if (!progress.regions)
+            co_return progress.mayHaveRun
+                ? endWithUnknownOutcome(progress, "no_allowed_region")
+                : refuseRequest(progress, "no_allowed_region", milliseconds(0));
         if (remaining <= minimumAttemptTime)
             co_return progress.mayHaveRun ? endWithUnknownOutcome(progress, "time_over")
                                           : refuseRequest(progress, "time_over", milliseconds(0));
@@ -199,9 +238,9 @@
                 : refuseRequest(progress, "attempts_used", retryAfterAttemptsExhausted);
         choice_failure reason;
         const auto upstream = m_upstreamChoice.choose(
-            {progress.service, progress.object, progress.route.regions,
-             progress.route.latencyTarget, maximumDuration, progress.triedUpstreams,
-             progress.previousRegion, progress.routeKey, m_processEnd.has_value()},
+            {progress.service, progress.object, *progress.regions, progress.route.latencyTarget,
+             maximumDuration, progress.triedUpstreams, progress.previousRegion, progress.routeKey,
+             m_processEnd.has_value()},
             now, reason);
         if (!upstream && progress.mayHaveRun)
             co_return endWithUnknownOutcome(progress, "no_upstream");
@@ -345,6 +384,7 @@
     auto request = std::make_shared<relay_request>(progress.request);
     const bool hadLength = request->has_content_length() || request->chunked();
     eraseConnectionHeaders(*request);
+    setAccountHeaders(progress.identity, *request);
     const auto remaining =
         std::chrono::duration_cast<milliseconds>(progress.deadline - m_options.now());
     request->set(m_options.headers.remainingTime,
--- a/src/settings/node_settings.cpp
+++ b/src/settings/node_settings.cpp
@@ -131,6 +131,9 @@
         reader.refuse("steering", "largest_shift", "requests could never leave a region");
     settings.shiftWindow = reader.duration("steering", "shift_window", "2 s",
                                            {milliseconds(100), milliseconds(60'000)});
+    settings.strictRevocation = flag(reader, "accounts", "revocation_strict");
+    settings.revocationLimit = reader.duration("accounts", "revocation_limit", "5 s",
+                                               {milliseconds(100), milliseconds(600'000)});
     settings.logLevel = reader.level("process", "log_level");
     settings.effective = reader.finish();
     return settings;
