Limit the rate of client accounts over all entries by credits

The leading control host keeps a token bucket for each account and grants credits to entries, which ask ahead by their demand. Requests over the limit get 429 with the time until there is room; a request that is refused for another reason gives its credit back.

--- /dev/null
+++ b/include/kingcuptiller/accounts/account_credits.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "kingcuptiller/accounts/client_account.h"
+#include "kingcuptiller/accounts/quota_messages.h"
+#include "kingcuptiller/values/time.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+
+namespace kingcuptiller {
+
+enum class credit_decision {
+    // The request may run; its credit is spent.
+    granted,
+    // The entry has asked for a credit, or is about to.
+    wait,
+    // The account has used up its limit.
+    limited,
+    // The entry has no credit and no news from the leading control host.
+    unknown,
+};
+
+struct credit_answer
+{
+    credit_decision decision = credit_decision::granted;
+    // When a request may be expected to fit. Set for `limited` and `unknown`.
+    milliseconds retryAfter{0};
+
+    bool operator==(const credit_answer &) const = default;
+};
+
+// One entry's credits for the rate limits of client accounts; see `account_quota_pool`. Load to
+// which it responds: requests of many accounts, of which each may come through any entry, while the
+// round trip to the leader takes longer than a request may be delayed. An entry asks for credits
+// ahead, by its recent demand. For accounts of which it sees few requests, it serves single
+// requests ahead of a grant.
+//
+//     switch (credits.take(account, now).decision) ...
+//     if (credits.isRequestDue(now))
+//         send(credits.makeRequest(now));
+//     credits.applyReply(reply, now);
+//
+// Not thread-safe.
+class account_credits
+{
+public:
+    // `run` differs between the runs of the entry process.
+    account_credits(endpoint_address entry, std::uint64_t run);
+
+    // Spends a credit for a request of `account`. `isRepeated` is true when the same request has
+    // waited before, so that it is not counted as new demand.
+    [[nodiscard]] credit_answer take(const client_account &account, instant now,
+                                     bool isRepeated = false);
+    // Takes back the credit of a request that did not run.
+    void giveBack(const client_account &account, instant now);
+
+    // Whether a request waits for which no message has asked yet.
+    [[nodiscard]] bool isShort() const { return m_isShort; }
+    // Whether to send a message now.
+    [[nodiscard]] bool isRequestDue(instant now) const;
+    [[nodiscard]] credit_request makeRequest(instant now);
+    void applyReply(const credit_reply &reply, instant now);
+
+private:
+    struct credit_batch
+    {
+        std::uint32_t credits = 0;
+        instant expiry;
+    };
+
+    struct account_record
+    {
+        std::deque<credit_batch> batches;
+        // Requests per second at this entry, a moving average.
+        double demandPerSecond = 0;
+        instant lastDemand;
+        // Not yet reported.
+        std::uint32_t spent = 0;
+        std::uint32_t returned = 0;
+        std::uint32_t owed = 0;
+        // Requests that wait for a credit, as far as no message has asked for them.
+        std::uint32_t waiting = 0;
+        // Credits asked for, by the messages that are not answered.
+        std::uint32_t requested = 0;
+        instant requestedAt;
+    };
+
+    struct constrained_state
+    {
+        milliseconds untilRoom{0};
+        instant since;
+    };
+
+    [[nodiscard]] account_record &recordOf(const account_name &account, instant now);
+    [[nodiscard]] bool isReplyFresh(instant now) const;
+    [[nodiscard]] std::uint32_t wantedCredits(const account_record &record, instant now) const;
+    static void countDemand(account_record &record, instant now);
+    static std::uint32_t creditsOf(const account_record &record);
+
+    endpoint_address m_entry;
+    std::uint64_t m_run = 0;
+    std::uint64_t m_sequence = 0;
+    std::map<account_name, account_record> m_accounts;
+    std::map<account_name, constrained_state> m_constrained;
+    // When the requests that are not answered were sent, by sequence.
+    std::map<std::uint64_t, instant> m_sentAt;
+    std::optional<instant> m_lastSent;
+    std::optional<instant> m_lastReply;
+    milliseconds m_interval;
+    bool m_isShort = false;
+};
+
+} // namespace kingcuptiller
--- a/include/kingcuptiller/node/control_node.h
+++ b/include/kingcuptiller/node/control_node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kingcuptiller/accounts/account_quota_pool.h"
 #include "kingcuptiller/consensus/replica.h"
 #include "kingcuptiller/fleet/fleet_control.h"
 #include "kingcuptiller/node/frame_connection.h"
@@ -56,6 +57,10 @@
     milliseconds timeoutCheckInterval{100};
     // How often a host reports to the leader whose heartbeats it has answered.
     milliseconds heartbeatReportInterval{500};
+    quota_tolerance quota;
+    // Reads the client accounts in a configuration as operators write it. Throws `error` with
+    // `change_malformed`. Empty if the deployment has no accounts.
+    std::function<std::vector<client_account>(const std::string &document)> decodeAccounts{};
     std::function<instant()> now;
     std::function<std::uint64_t()> random;
 };
@@ -181,6 +186,9 @@
     void noteIntroduction(const std::string &body);
     void notePresence(const std::shared_ptr<frame_connection> &connection, const std::string &body);
     void passOnPresence(const std::string &entry);
+    // Passes a request of an entry for credits on to the leader, and its answer back.
+    void noteCreditRequest(const std::shared_ptr<frame_connection> &connection,
+                           const std::string &body);
     void sendViews();
     void sendView(entry_feed &feed);
 
@@ -195,6 +203,9 @@
     // before.
     [[nodiscard]] bool wasSuspended(instant now) const;
     void answerHere(const call_text &text, const call_reply &done);
+    // Takes over the accounts of the present configuration.
+    void updateQuotaPool(instant now);
+    [[nodiscard]] call_answer grantCredits(const std::string &body, instant now);
     void passOn(const call_text &text, const call_reply &done);
     void noteCall(const std::string &body);
     void noteReply(const std::string &body);
@@ -211,6 +222,10 @@
     instant m_reopenTime;
     std::unique_ptr<fleet_control> m_control;
     epoch_number m_leadingTerm;
+    // In use while this host leads.
+    account_quota_pool m_quotaPool;
+    // The configuration whose accounts are in the pool.
+    revision_number m_quotaVersion;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_tick;
     instant m_lastTick;
--- a/include/kingcuptiller/node/entry_node.h
+++ b/include/kingcuptiller/node/entry_node.h
@@ -54,6 +54,8 @@
 private:
     void apply(const fleet_view &view, const std::optional<traffic_configuration> &configuration);
     void scheduleTick();
+    // Asks for credits after `delay`, unless that is to happen earlier anyway.
+    void scheduleCreditRequest(milliseconds delay);
     void finishLeaving(std::function<void()> done, instant until);
 
     boost::asio::io_context &m_context;
@@ -68,6 +70,9 @@
     std::unique_ptr<traffic_server> m_server;
     boost::asio::steady_timer m_tick;
     boost::asio::steady_timer m_leavingTimer;
+    boost::asio::steady_timer m_creditTimer;
+    // Until the next check; 0 while none is scheduled.
+    milliseconds m_creditDelay{0};
     bool m_leaving = false;
 
     class feed_thread;
--- a/include/kingcuptiller/node/fleet_feed.h
+++ b/include/kingcuptiller/node/fleet_feed.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace kingcuptiller {
@@ -30,6 +31,8 @@
     std::function<instant()> now;
     // Called with the time of each answer of a control host that is current.
     std::function<void(instant)> onContact{};
+    // Called with the body of each frame of the kind `credit_reply`.
+    std::function<void(const std::string &)> onCreditReply{};
 };
 
 // An entry's connection to the control hosts: it reports the entry's state to one of them and
@@ -44,6 +47,8 @@
 
     // Reports the state of the entry; it is `joining` at first.
     void setState(entry_state state);
+    // Sends a `credit_request` to the control host; drops it while there is none.
+    void sendCreditRequest(const std::string &body);
 
 private:
     // A host that is asked whether it is current; without a connection while one is being made.
--- a/include/kingcuptiller/node/frame_connection.h
+++ b/include/kingcuptiller/node/frame_connection.h
@@ -35,6 +35,10 @@
     current = 'k',
     // This control host has lost the leader; its view may be old.
     stale = 's',
+    // An entry asks for credits of client accounts, see `credit_request`.
+    credit_request = 'a',
+    // The answer, see `credit_reply`.
+    credit_reply = 'g',
 };
 
 struct frame
--- a/include/kingcuptiller/relay/request_relay.h
+++ b/include/kingcuptiller/relay/request_relay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kingcuptiller/accounts/account_credits.h"
 #include "kingcuptiller/accounts/authentication.h"
 #include "kingcuptiller/fleet/fleet_view.h"
 #include "kingcuptiller/fleet/traffic_configuration.h"
@@ -54,6 +55,10 @@
     // Without such an answer for this long, requests that need the key of an account are refused,
     // because the key may have been revoked; nothing if known keys stay valid.
     std::optional<milliseconds> revocationLimit{};
+    // The address of this entry, by which control knows it.
+    endpoint_address entry{};
+    // Called when a request waits for a credit, so that a message should be sent soon.
+    std::function<void()> onCreditShortage{};
 };
 
 // Forwards client requests to upstreams: finds the route, chooses an upstream, sends the request,
@@ -96,6 +101,11 @@
     // when its response is expected within half of the time until `end`. Attempts still in progress
     // at `end` are aborted, so that their clients get a response.
     void setProcessEnd(instant end);
+    // The messages by which this entry gets credits for the rate limits of accounts. Returns
+    // nothing if none is due, in particular if no account has a limit.
+    [[nodiscard]] std::optional<credit_request> takeCreditRequest();
+    [[nodiscard]] bool isShortOfCredits() const { return m_credits.isShort(); }
+    void applyCreditReply(const credit_reply &reply);
     // Closes unusable idle connections and logs the number of requests sent to each region, and to
     // each part of a route that splits its requests, since the last call. Call it about once a
     // second; between calls, unusable connections stay open.
@@ -118,6 +128,14 @@
     // Looks up the key of a request anew after a change of the configuration. Returns false if the
     // request may not be sent any more.
     [[nodiscard]] bool refreshIdentity(request_progress &progress) const;
+    // Spends a credit of the request's account, and waits for one if necessary. Returns a response
+    // if the request is rejected.
+    [[nodiscard]] boost::asio::awaitable<std::optional<relay_response>>
+    acquireCredit(request_progress &progress);
+    // Waits until credits arrive or `until`.
+    [[nodiscard]] boost::asio::awaitable<void> waitForCredits(instant until);
+    [[nodiscard]] relay_response rejectOverLimit(request_progress &progress,
+                                                 milliseconds retryAfter);
     // Removes the key from a request for an upstream, and sets the name of the account.
     void setAccountHeaders(const request_identity &identity, relay_request &request) const;
     // Returns the time in which the response to an attempt that starts at `now` must be expected,
@@ -173,6 +191,10 @@
     client_limits m_limits;
     revision_number m_configurationVersion;
     weighted_split m_weightedSplit;
+    account_credits m_credits;
+    bool m_hasRateLimits = false;
+    // The timers of requests that wait for credits.
+    std::set<boost::asio::steady_timer *> m_creditWaiters;
 };
 
 } // namespace kingcuptiller
--- a/include/kingcuptiller/settings/node_settings.h
+++ b/include/kingcuptiller/settings/node_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kingcuptiller/accounts/account_quota_pool.h"
 #include "kingcuptiller/settings/settings_reader.h"
 #include "kingcuptiller/values/identifiers.h"
 #include "kingcuptiller/values/time.h"
@@ -58,6 +59,8 @@
     // from control for `revocationLimit`, because the key may have been revoked.
     bool strictRevocation = false;
     milliseconds revocationLimit{5'000};
+    // What is promised about the rate limits of accounts.
+    quota_tolerance quota;
 
     log_level logLevel = log_level::info;
     std::vector<effective_setting> effective;
--- /dev/null
+++ b/src/accounts/account_credits.cpp
@@ -0,0 +1,204 @@
+#include "kingcuptiller/accounts/account_credits.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace kingcuptiller {
+
+namespace {
+
+constexpr milliseconds initialInterval{100};
+// While a request waits for a credit, messages are this far apart.
+constexpr milliseconds urgentInterval{20};
+// Time constant of the average demand.
+constexpr double demandDecayMs = 500;
+// Credits are asked for ahead for the interval between messages and this time, which covers the
+// round trip to a leader in another region.
+constexpr double requestLeadMs = 250;
+// Below this expected demand until the next grant, no credits are asked for ahead.
+constexpr double leastDemandAhead = 0.5;
+// Without a reply for so long, the state of all accounts is unknown. Several messages may be lost.
+constexpr milliseconds replyTimeout{1'500};
+// A reply shows that an account has room for requests ahead of a grant for so long, beyond the
+// interval between messages.
+constexpr milliseconds replyFreshness{400};
+// Requests that were sent and not answered for so long are taken as lost.
+constexpr milliseconds requestTimeout{1'000};
+// Requests of one account that are served ahead of a grant and not reported.
+constexpr std::uint32_t maxOwed = 1;
+constexpr milliseconds retryAfterUnknown{200};
+constexpr milliseconds leastRetryAfter{50};
+// Accounts without requests for so long are forgotten.
+constexpr milliseconds forgetAccountAfter{10'000};
+// The lifetime of a credit that is given back.
+constexpr milliseconds returnedLifetime{500};
+
+double toMs(microseconds duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+} // namespace
+
+account_credits::account_credits(endpoint_address entry, std::uint64_t run)
+    : m_entry(std::move(entry))
+    , m_run(run)
+    , m_interval(initialInterval)
+{
+}
+
+std::uint32_t account_credits::creditsOf(const account_record &record)
+{
+    std::uint32_t credits = 0;
+    for (const credit_batch &batch : record.batches)
+        credits += batch.credits;
+    return credits;
+}
+
+account_credits::account_record &account_credits::recordOf(const account_name &account, instant now)
+{
+    account_record &record = m_accounts[account];
+    std::erase_if(record.batches, [&](const credit_batch &batch) {
+        if (batch.expiry > now)
+            return false;
+        record.returned += batch.credits;
+        return true;
+    });
+    if (record.requested > 0 && now - record.requestedAt > requestTimeout)
+        record.requested = 0;
+    return record;
+}
+
+void account_credits::countDemand(account_record &record, instant now)
+{
+    const double elapsedMs = std::max(toMs(now - record.lastDemand), 0.0);
+    record.demandPerSecond =
+        record.demandPerSecond * std::exp(-elapsedMs / demandDecayMs) + 1'000 / demandDecayMs;
+    record.lastDemand = now;
+}
+
+bool account_credits::isReplyFresh(instant now) const
+{
+    return m_lastReply && now - *m_lastReply < m_interval + replyFreshness;
+}
+
+credit_answer account_credits::take(const client_account &account, instant now, bool isRepeated)
+{
+    if (account.limit.requestsPerSecond <= 0)
+        return {};
+    account_record &record = recordOf(account.name, now);
+    if (!isRepeated)
+        countDemand(record, now);
+    if (!record.batches.empty()) {
+        credit_batch &oldest = record.batches.front();
+        ++record.spent;
+        if (--oldest.credits == 0)
+            record.batches.pop_front();
+        return {};
+    }
+    if (!m_lastReply || now - *m_lastReply > replyTimeout)
+        return {credit_decision::unknown, retryAfterUnknown};
+    const auto constrained = m_constrained.find(account.name);
+    if (constrained == m_constrained.end()) {
+        if (isReplyFresh(now) && record.owed < maxOwed) {
+            ++record.owed;
+            return {};
+        }
+    } else if (constrained->second.untilRoom > milliseconds(0)) {
+        const instant end = constrained->second.since + constrained->second.untilRoom;
+        const auto remaining = std::chrono::ceil<milliseconds>(end - now);
+        return {credit_decision::limited, std::max(remaining, leastRetryAfter)};
+    }
+    // What the last message asked for may not have been granted in full.
+    if (!isRepeated || record.requested == 0) {
+        ++record.waiting;
+        m_isShort = true;
+    }
+    return {credit_decision::wait, retryAfterUnknown};
+}
+
+void account_credits::giveBack(const client_account &account, instant now)
+{
+    if (account.limit.requestsPerSecond <= 0)
+        return;
+    account_record &record = recordOf(account.name, now);
+    if (record.owed > 0) {
+        --record.owed;
+        return;
+    }
+    if (record.spent > 0)
+        --record.spent;
+    record.batches.push_front({1, now + returnedLifetime});
+}
+
+bool account_credits::isRequestDue(instant now) const
+{
+    if (!m_lastSent)
+        return true;
+    return now - *m_lastSent >= (m_isShort ? std::min(urgentInterval, m_interval) : m_interval);
+}
+
+std::uint32_t account_credits::wantedCredits(const account_record &record, instant now) const
+{
+    const double demand =
+        record.demandPerSecond * std::exp(-toMs(now - record.lastDemand) / demandDecayMs);
+    const double ahead = demand * (toMs(m_interval) + requestLeadMs) / 1'000;
+    const double wanted = (ahead < leastDemandAhead ? 0 : std::ceil(ahead)) + record.waiting;
+    const double available = static_cast<double>(creditsOf(record)) + record.requested;
+    return static_cast<std::uint32_t>(std::max(wanted - available, 0.0));
+}
+
+credit_request account_credits::makeRequest(instant now)
+{
+    std::erase_if(m_sentAt, [&](const auto &each) { return now - each.second > requestTimeout; });
+    credit_request request{m_entry, m_run, ++m_sequence, {}};
+    for (auto each = m_accounts.begin(); each != m_accounts.end();) {
+        account_record &record = recordOf(each->first, now);
+        const std::uint32_t wanted = wantedCredits(record, now);
+        const credit_usage usage{each->first, record.spent, record.returned, record.owed, wanted};
+        if (usage != credit_usage{each->first, 0, 0, 0, 0})
+            request.accounts.push_back(usage);
+        record.spent = 0;
+        record.returned = 0;
+        record.owed = 0;
+        record.waiting = 0;
+        if (wanted > 0) {
+            record.requested += wanted;
+            record.requestedAt = now;
+        }
+        const bool isForgotten =
+            record.batches.empty() && now - record.lastDemand > forgetAccountAfter;
+        each = isForgotten ? m_accounts.erase(each) : std::next(each);
+    }
+    m_sentAt.emplace(request.sequence, now);
+    m_lastSent = now;
+    m_isShort = false;
+    return request;
+}
+
+void account_credits::applyReply(const credit_reply &reply, instant now)
+{
+    const auto sent = m_sentAt.find(reply.sequence);
+    if (sent == m_sentAt.end())
+        return;
+    // The leader granted the credits later than the request was sent, so its time ends later.
+    const instant expiry = sent->second + reply.lifetime;
+    m_sentAt.erase(sent);
+    m_lastReply = now;
+    m_interval = std::max(reply.interval, urgentInterval);
+    for (const credit_grant &grant : reply.grants) {
+        account_record &record = recordOf(grant.account, now);
+        record.requested -= std::min(record.requested, grant.credits);
+        if (expiry > now && grant.credits > 0)
+            record.batches.push_back({grant.credits, expiry});
+    }
+    m_constrained.clear();
+    for (const constrained_account &each : reply.constrained) {
+        m_constrained.emplace(each.account, constrained_state{each.untilRoom, now});
+        // What was not granted is asked for again.
+        m_accounts[each.account].requested = 0;
+    }
+}
+
+} // namespace kingcuptiller
--- a/src/node/control_calls.cpp
+++ b/src/node/control_calls.cpp
@@ -136,6 +136,8 @@
     } else if (text.operation == "entry") {
         m_control->recordEntryHeartbeat(decodeFleetEntry(text.body), now);
         withCode(result_code::ok);
+    } else if (text.operation == "credits" && m_replica && m_replica->hasLease(now)) {
+        done(grantCredits(text.body, now));
     } else if (text.operation == "read" && m_replica && m_replica->hasLease(now)) {
         done({result_code::ok, m_control->state().document()});
     } else {
@@ -143,6 +145,23 @@
     }
 }
 
+void control_node::updateQuotaPool(instant now)
+{
+    const fleet_state &state = m_control->state();
+    if (m_quotaVersion == state.version() || !m_options.decodeAccounts || state.document().empty())
+        return;
+    m_quotaVersion = state.version();
+    m_quotaPool.setAccounts(m_options.decodeAccounts(state.document()), now);
+}
+
+control_node::call_answer control_node::grantCredits(const std::string &body, instant now)
+{
+    updateQuotaPool(now);
+    const credit_reply reply =
+        m_quotaPool.handle(decodeCreditRequest(body), m_control->state().entries().size(), now);
+    return {result_code::ok, encodeCreditReply(reply)};
+}
+
 void control_node::passOn(const call_text &text, const call_reply &done)
 {
     if (m_control->isLeading()) {
--- a/src/node/control_links.cpp
+++ b/src/node/control_links.cpp
@@ -160,6 +160,9 @@
         case frame_kind::presence:
             notePresence(connection, received.body);
             break;
+        case frame_kind::credit_request:
+            noteCreditRequest(connection, received.body);
+            break;
         default:
             break;
         }
@@ -209,6 +212,17 @@
         sendView(feed);
 }
 
+void control_node::noteCreditRequest(const std::shared_ptr<frame_connection> &connection,
+                                     const std::string &body)
+{
+    const std::weak_ptr<frame_connection> weak = connection;
+    passOn({"credits", body}, [weak](const call_answer &answer) {
+        const auto open = weak.lock();
+        if (open && answer.code == result_code::ok)
+            open->send(frame_kind::credit_reply, answer.body);
+    });
+}
+
 void control_node::passOnPresence(const std::string &entry)
 {
     if (m_current && !m_control->isLeading()) {
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -28,6 +28,7 @@
     : m_context(context)
     , m_options(std::move(options))
     , m_counters(counters)
+    , m_quotaPool(m_options.quota)
     , m_acceptor(
           openListener(context, {asio::ip::make_address(m_options.host.text()), m_options.port}))
     , m_tick(context)
@@ -249,6 +250,7 @@
     if (!m_control->isLeading() && m_replica->hasLease(m_options.now())) {
         m_leadingTerm = status.term;
         m_control->startLeading(m_options.now());
+        m_quotaPool.restart(m_options.now());
     }
 }
 
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -33,11 +33,16 @@
 // Response bodies take at most this part of the memory of the process, and so do request bodies,
 // which are copied once for the upstream.
 constexpr std::uint64_t heldBodiesDivisor = 4;
+// How often the entry checks whether it has to ask for credits, and how soon it does so when a
+// request waits for one.
+constexpr milliseconds creditRequestInterval{50};
+constexpr milliseconds creditShortageDelay{5};
 // Part of the revocation limit that is left for the way of the last news to this entry.
 constexpr double revocationMargin = 0.2;
 
 relay_options relayOptions(const node_settings &settings, const entry_platform &platform,
-                           const std::atomic<instant> &lastControlContact)
+                           const std::atomic<instant> &lastControlContact,
+                           std::function<void()> onCreditShortage)
 {
     relay_options options;
     options.headers = platform.headers;
@@ -51,6 +56,9 @@
     options.retryBudget = {settings.retryShare, settings.retrySlack, settings.retryWindow};
     options.maximumHeldResponseBytes = settings.memoryBytes / heldBodiesDivisor;
     options.now = readInstant;
+    if (settings.traffic)
+        options.entry = *settings.traffic;
+    options.onCreditShortage = std::move(onCreditShortage);
     if (settings.strictRevocation) {
         options.revocationLimit = milliseconds(std::llround(
             static_cast<double>(settings.revocationLimit.count()) * (1 - revocationMargin)));
@@ -85,9 +93,11 @@
     feed_thread(const node_settings &settings, const endpoint_address &traffic,
                 std::function<traffic_configuration(const std::string &)> decode,
                 std::function<void(fleet_view, std::optional<traffic_configuration>)> onView,
-                std::function<void(instant)> onContact)
+                std::function<void(instant)> onContact,
+                std::function<void(const credit_reply &)> onCreditReply)
         : m_decode(std::move(decode))
         , m_onView(std::move(onView))
+        , m_onCreditReply(std::move(onCreditReply))
         , m_work(asio::make_work_guard(m_context))
         , m_feed(m_context,
                  fleet_feed_options{
@@ -95,7 +105,8 @@
                      .controlPort = settings.internalPort,
                      .entry = {traffic, settings.region, settings.zone, entry_state::joining},
                      .now = readInstant,
-                     .onContact = std::move(onContact)},
+                     .onContact = std::move(onContact),
+                     .onCreditReply = [this](const std::string &body) { receiveCredits(body); }},
                  [this](const fleet_view &view) { receive(view); })
         , m_thread([this] { m_context.run(); })
     {
@@ -114,6 +125,13 @@
         asio::post(m_context, [this, state] { m_feed.setState(state); });
     }
 
+    void sendCreditRequest(credit_request request)
+    {
+        asio::post(m_context, [this, request = std::move(request)] {
+            m_feed.sendCreditRequest(encodeCreditRequest(request));
+        });
+    }
+
 private:
     void receive(const fleet_view &view)
     {
@@ -131,8 +149,18 @@
         m_onView(view, std::move(configuration));
     }
 
+    void receiveCredits(const std::string &body)
+    {
+        try {
+            m_onCreditReply(decodeCreditReply(body));
+        } catch (const error &failure) {
+            log_line(log_level::error, "entry", "credits_refused").field("reason", failure.what());
+        }
+    }
+
     std::function<traffic_configuration(const std::string &)> m_decode;
     std::function<void(fleet_view, std::optional<traffic_configuration>)> m_onView;
+    std::function<void(const credit_reply &)> m_onCreditReply;
     asio::io_context m_context;
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     fleet_feed m_feed;
@@ -144,11 +172,15 @@
     : m_context(context)
     , m_settings(settings)
     , m_platform(std::move(platform))
-    , m_relay(context, relayOptions(settings, m_platform, m_lastControlContact), counters)
+    , m_relay(context,
+              relayOptions(settings, m_platform, m_lastControlContact,
+                           [this] { scheduleCreditRequest(creditShortageDelay); }),
+              counters)
     , m_viewCommands(counters.get("kct_entry_view_commands"))
     , m_upstreams(counters.get("kct_entry_upstreams"))
     , m_tick(context)
     , m_leavingTimer(context)
+    , m_creditTimer(context)
 {
     if (!m_settings.traffic)
         throw error(result_code::settings_invalid, "an entry needs an address for traffic");
@@ -166,8 +198,12 @@
                            apply(view, configuration);
                        });
         },
-        [this](instant contact) { m_lastControlContact = contact; });
+        [this](instant contact) { m_lastControlContact = contact; },
+        [this](const credit_reply &reply) {
+            asio::post(m_context, [this, reply] { m_relay.applyCreditReply(reply); });
+        });
     scheduleTick();
+    scheduleCreditRequest(creditRequestInterval);
 }
 
 entry_node::~entry_node() = default;
@@ -202,6 +238,23 @@
     });
 }
 
+void entry_node::scheduleCreditRequest(milliseconds delay)
+{
+    if (delay >= m_creditDelay && m_creditDelay > milliseconds(0))
+        return;
+    m_creditDelay = delay;
+    m_creditTimer.expires_after(delay);
+    m_creditTimer.async_wait([this](error_code problem) {
+        if (problem)
+            return;
+        m_creditDelay = milliseconds(0);
+        if (auto request = m_relay.takeCreditRequest())
+            m_feed->sendCreditRequest(std::move(*request));
+        scheduleCreditRequest(m_relay.isShortOfCredits() ? creditShortageDelay
+                                                         : creditRequestInterval);
+    });
+}
+
 void entry_node::leave(std::function<void()> done)
 {
     if (std::exchange(m_leaving, true))
--- a/src/node/fleet_feed.cpp
+++ b/src/node/fleet_feed.cpp
@@ -35,6 +35,12 @@
         sendPresence();
 }
 
+void fleet_feed::sendCreditRequest(const std::string &body)
+{
+    if (m_connection)
+        m_connection->send(frame_kind::credit_request, body);
+}
+
 void fleet_feed::scheduleTick()
 {
     m_tick.expires_after(m_options.probeInterval);
@@ -174,6 +180,8 @@
     }
     noteContact();
     closeCandidates();
+    if (received.kind == frame_kind::credit_reply && m_options.onCreditReply)
+        m_options.onCreditReply(received.body);
     if (received.kind != frame_kind::view)
         return;
     try {
--- a/src/relay/request_outcomes.cpp
+++ b/src/relay/request_outcomes.cpp
@@ -135,12 +135,16 @@
         std::chrono::duration_cast<milliseconds>(m_options.now() - progress.arrivedAt);
     m_metrics.recordRequestEnd(progress.service, outcome, reason, elapsed);
     m_weightedSplit.recordEnd(progress.route, progress.service, outcome);
+    // A refused request has not run.
+    if (progress.holdsCredit && outcome == "refused")
+        m_credits.giveBack(*progress.identity.account, m_options.now());
     log_line line(log_level::info, "relay", "request_ended");
     line.field("request", toStringView(progress.request[m_options.headers.requestId]))
         .field("route", progress.route.name)
         .field("service", progress.service.text())
         .field("version", m_configurationVersion.number())
         .field("object", progress.object)
+        .field("account", progress.identity.account ? progress.identity.account->name.text() : "")
         .field("outcome", outcome)
         .field("reason", reason)
         .field("sendings", std::uint64_t(progress.sentAttempts))
--- a/src/relay/request_progress.h
+++ b/src/relay/request_progress.h
@@ -58,6 +58,8 @@
     // succeeds.
     std::optional<relay_response> failureResponse;
     std::optional<last_attempt> lastAttempt;
+    // The request has spent a credit of its account.
+    bool holdsCredit = false;
     // Number of attempts that reached an upstream; excludes `failedConnections`.
     std::uint32_t sentAttempts = 0;
     // Number of upstreams to which the request could not be sent, mostly for lack of a connection.
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -68,6 +68,7 @@
     , m_heldResponseBytesGauge(counters.get("kct_relay_held_response_bytes"))
     , m_processEndTimer(context)
     , m_weightedSplit(m_options.runSeed)
+    , m_credits(m_options.entry, m_options.runSeed)
 {
 }
 
@@ -77,6 +78,10 @@
     if (configuration && (m_routes == nullptr || configuration->version > m_configurationVersion)) {
         m_routes = std::make_shared<const route_table>(*configuration);
         m_weightedSplit.update(*m_routes);
+        const auto &accounts = m_routes->accounts().accounts();
+        m_hasRateLimits = std::any_of(accounts.begin(), accounts.end(), [](const auto &each) {
+            return each.second.limit.requestsPerSecond > 0;
+        });
         m_limits = configuration->limits;
         m_configurationVersion = configuration->version;
     }
@@ -180,8 +185,11 @@
         false,
         std::nullopt,
         std::nullopt,
+        false,
         0,
         0};
+    if (auto rejection = co_await acquireCredit(progress))
+        co_return std::move(*rejection);
     m_retryBudget.recordRequest(progress.service, now);
     co_return co_await runAttempts(progress);
 }
--- a/src/settings/node_settings.cpp
+++ b/src/settings/node_settings.cpp
@@ -13,6 +13,8 @@
 constexpr std::uint64_t mostMemory = std::uint64_t{1024} * 1024 * 1024 * 1024;
 constexpr const char *whiteSpace = " \t\r\n";
 constexpr double mostRetrySlack = 1'000'000;
+constexpr double mostQuotaOverage = 10;
+constexpr double mostQuotaSlack = 1'000'000;
 
 std::vector<std::string> parts(const std::string &text, char separator)
 {
@@ -134,6 +136,10 @@
     settings.strictRevocation = flag(reader, "accounts", "revocation_strict");
     settings.revocationLimit = reader.duration("accounts", "revocation_limit", "5 s",
                                                {milliseconds(100), milliseconds(600'000)});
+    settings.quota.window = reader.duration("accounts", "quota_window", "5 s",
+                                            {milliseconds(100), milliseconds(600'000)});
+    settings.quota.overage = decimal(reader, "accounts", "quota_overage", 0.1, mostQuotaOverage);
+    settings.quota.slack = decimal(reader, "accounts", "quota_slack", 20, mostQuotaSlack);
     settings.logLevel = reader.level("process", "log_level");
     settings.effective = reader.finish();
     return settings;
