Send the bodies of uploads to the upstream while they are received

An entry read each body whole before it sent it, so a body crossed the entry's link twice, one after the other. The bytes are kept until the request ends, so that it can be sent again after an upstream has stated that it has not run it. If the client breaks off, the connection to the upstream is closed before the request is complete.

--- a/include/kingcuptiller/fleet/traffic_configuration.h
+++ b/include/kingcuptiller/fleet/traffic_configuration.h
@@ -55,6 +55,8 @@
     std::set<region_name> regions;
     // Whether requests are served without the key of a client account.
     bool isPublic = false;
+    // Whether requests have large bodies, which are sent to the upstream while they are received.
+    bool streamsBodies = false;
 
     // Identifies the requests of the route in all configurations. Two routes never share it, and it
     // is not used again for other requests, as a name may be.
--- a/include/kingcuptiller/relay/request_relay.h
+++ b/include/kingcuptiller/relay/request_relay.h
@@ -93,6 +93,8 @@
     [[nodiscard]] boost::asio::awaitable<relay_response> handle(const relay_request &request,
                                                                 client_disconnect_signal &client);
 
+    // Whether the body of the request is sent to the upstream while it is received.
+    [[nodiscard]] bool streamsBody(const relay_request &head) const;
     // Returns the limits for client requests from the current configuration.
     [[nodiscard]] client_limits limits() const;
     // Returns whether a configuration is known, so that requests can be forwarded.
@@ -117,6 +119,7 @@
     // State of one client request while it is being forwarded.
     struct request_progress;
 
+    [[nodiscard]] static std::size_t requestBodyBytes(const request_progress &progress);
     [[nodiscard]] boost::asio::awaitable<relay_response> runAttempts(request_progress &progress);
     [[nodiscard]] authentication_result authenticateRequest(const route_table &routes,
                                                             const relay_request &request) const;
--- a/include/kingcuptiller/relay/traffic_server.h
+++ b/include/kingcuptiller/relay/traffic_server.h
@@ -3,6 +3,7 @@
 #include "kingcuptiller/fleet/traffic_configuration.h"
 #include "kingcuptiller/relay/byte_budget.h"
 #include "kingcuptiller/relay/http_types.h"
+#include "kingcuptiller/relay/request_body.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ssl/context.hpp>
@@ -42,6 +43,10 @@
     void setDisconnectCallback(std::function<void()> callback) { m_callback = std::move(callback); }
     // Marks the client as disconnected and calls the callback, if any.
     void signalDisconnect();
+    // The body, if it is still being received while the request is handled; else nullptr, and the
+    // body is in the request.
+    [[nodiscard]] const std::shared_ptr<request_body> &body() const { return m_body; }
+    void setBody(std::shared_ptr<request_body> body) { m_body = std::move(body); }
     // Keeps the holding until the response has been sent or the connection has ended.
     void holdUntilResponded(byte_budget::holding heldBytes)
     {
@@ -52,6 +57,7 @@
     std::function<bool()> m_isClosed;
     bool m_disconnected = false;
     std::function<void()> m_callback;
+    std::shared_ptr<request_body> m_body;
     std::vector<byte_budget::holding> m_heldBytes;
 };
 
@@ -60,12 +66,17 @@
 using request_handler = std::function<boost::asio::awaitable<relay_response>(
     const relay_request &request, client_disconnect_signal &client)>;
 
+// Decides by the head of a request whether its body is received while the request is handled; see
+// `client_disconnect_signal::body`. Bodies that are short are always received before.
+using body_streaming_rule = std::function<bool(const relay_request &head)>;
+
 // An HTTP/1.1 server that listens on one address and runs entirely in the thread that runs
-// `context`. It reads each request completely and handles the requests of a connection one after
-// another. For a malformed request, or one that exceeds the limits, it sends 400, 408, 413 or 431
-// and closes the connection; where the bodies of all requests would take too much memory, 503 with
-// Retry-After. A request whose client has closed the connection before the request is read, as
-// happens while this process is suspended, is dropped without being handled.
+// `context`. It reads each request completely, unless its body is streamed, and handles the
+// requests of a connection one after another. For a malformed request, or one that exceeds the
+// limits, it sends 400, 408, 413 or 431 and closes the connection; where the bodies of all requests
+// would take too much memory, 503 with Retry-After. A request whose client has closed the
+// connection before the request is read, as happens while this process is suspended, is dropped
+// without being handled.
 class traffic_server
 {
 public:
@@ -79,7 +90,8 @@
     traffic_server(boost::asio::io_context &context, const tcp_endpoint &address,
                    request_handler handler, std::function<client_limits()> limits,
                    std::shared_ptr<boost::asio::ssl::context> tls = nullptr,
-                   std::uint64_t heldRequestBytes = defaultHeldRequestBytes);
+                   std::uint64_t heldRequestBytes = defaultHeldRequestBytes,
+                   body_streaming_rule streamsBody = {});
     ~traffic_server();
     traffic_server(const traffic_server &) = delete;
     traffic_server &operator=(const traffic_server &) = delete;
@@ -96,11 +108,24 @@
 
 private:
     struct session;
+    using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     boost::asio::awaitable<void> acceptConnections();
     boost::asio::awaitable<void> serveConnection(std::shared_ptr<session> client);
     // Reads, handles and responds to one request. Returns whether the connection stays open.
     boost::asio::awaitable<bool> serveNextRequest(session &client);
+    // Lets the handler respond to `client.request`, and sends the response.
+    boost::asio::awaitable<bool> respond(std::shared_ptr<session> client,
+                                         std::shared_ptr<client_disconnect_signal> signal);
+    // Whether the body behind a head that has been read is to be streamed.
+    [[nodiscard]] bool isStreamed(const request_parser &parser) const;
+    // Receives the body of a request that is being handled.
+    boost::asio::awaitable<void> receiveBody(std::shared_ptr<session> client,
+                                             std::shared_ptr<request_parser> parser,
+                                             std::shared_ptr<client_disconnect_signal> signal);
+    // Tells `signal` when the client closes the connection while no input is expected.
+    void watchForDisconnect(const std::shared_ptr<session> &client,
+                            const std::shared_ptr<client_disconnect_signal> &signal);
     // Reads a request into `client.request`. Returns false when there is none and the connection is
     // to be closed; sends an error response first where appropriate.
     boost::asio::awaitable<bool> readRequest(session &client);
@@ -109,10 +134,8 @@
     [[nodiscard]] bool holdBody(session &client, std::uint64_t bytes);
     // Reads the body that follows a header, and counts it. Returns false when it does not fit into
     // the budget for bodies of its size; sets `errorCode` when reading fails.
-    boost::asio::awaitable<bool>
-    readBody(session &client,
-             boost::beast::http::request_parser<boost::beast::http::string_body> &parser,
-             boost::system::error_code &errorCode);
+    boost::asio::awaitable<bool> readBody(session &client, request_parser &parser,
+                                          boost::system::error_code &errorCode);
     // Reads and discards a body that is within the limits, for a short time: a connection that is
     // closed with unread bytes is reset, and the client may lose the response.
     boost::asio::awaitable<void> discardInput(session &client);
@@ -128,6 +151,7 @@
     std::shared_ptr<boost::asio::ssl::context> m_tls;
     byte_budget m_largeBodies;
     byte_budget m_smallBodies;
+    body_streaming_rule m_streamsBody;
     bool m_draining = false;
 };
 
--- a/include/kingcuptiller/relay/upstream_connections.h
+++ b/include/kingcuptiller/relay/upstream_connections.h
@@ -2,6 +2,7 @@
 
 #include "kingcuptiller/relay/byte_budget.h"
 #include "kingcuptiller/relay/http_types.h"
+#include "kingcuptiller/relay/request_body.h"
 #include "kingcuptiller/values/identifiers.h"
 #include "kingcuptiller/values/time.h"
 
@@ -149,10 +150,14 @@
 // request on a reused connection. A small number of responses to other requests is discarded. A
 // response that arrives before the request was sent completely makes the connection not reusable.
 //
+// `body` is the body of a request that is still being received; nullptr if it is in `request`. Its
+// bytes are sent as they arrive. If it is aborted, the connection is closed, so that the upstream
+// never sees a complete request.
+//
 // Closing the socket from outside aborts the attempt with the status `incomplete`.
 boost::asio::awaitable<upstream_attempt_result>
 exchangeHttp(boost::asio::io_context &context, std::shared_ptr<upstream_connection> connection,
              std::shared_ptr<const relay_request> request, const relay_headers &headers,
-             const http_exchange_limits &limits);
+             const http_exchange_limits &limits, std::shared_ptr<request_body> body = nullptr);
 
 } // namespace kingcuptiller
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -189,7 +189,8 @@
         [this](const relay_request &request, client_disconnect_signal &client) {
             return m_relay.handle(request, client);
         },
-        [this] { return m_relay.limits(); }, nullptr, m_settings.memoryBytes / heldBodiesDivisor);
+        [this] { return m_relay.limits(); }, nullptr, m_settings.memoryBytes / heldBodiesDivisor,
+        [this](const relay_request &head) { return m_relay.streamsBody(head); });
     m_feed = std::make_unique<feed_thread>(
         m_settings, *m_settings.traffic, m_platform.decodeConfiguration,
         [this](fleet_view view, std::optional<traffic_configuration> configuration) {
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -194,6 +194,22 @@
     co_return co_await runAttempts(progress);
 }
 
+bool request_relay::streamsBody(const relay_request &head) const
+{
+    if (!m_routes)
+        return false;
+    const auto target = toStringView(head.target());
+    const traffic_route *const route =
+        m_routes->find(toStringView(head[http::field::host]), target.substr(0, target.find('?')));
+    return route != nullptr && route->streamsBodies;
+}
+
+std::size_t request_relay::requestBodyBytes(const request_progress &progress)
+{
+    return progress.client.body() ? progress.client.body()->bytes().size()
+                                  : progress.request.body().size();
+}
+
 bool request_relay::refreshIdentity(request_progress &progress) const
 {
     request_identity &identity = progress.identity;
@@ -292,7 +308,7 @@
     switch (outcome) {
     case upstream_attempt_outcome::answered:
         m_upstreamChoice.recordBytes(progress.service, progress.routeKey,
-                                     progress.request.body().size() + result.response.body().size()
+                                     requestBodyBytes(progress) + result.response.body().size()
                                          + headerBytes);
         recordRequestEnd(progress, "answered", "");
         co_return makeClientResponse(std::move(result.response));
@@ -371,8 +387,8 @@
     const http_exchange_limits limits{remaining, m_options.maximumResponseBytes,
                                       &m_heldResponseBytes};
     m_connectionsAwaitingResponse.insert(connection);
-    upstream_attempt_result result =
-        co_await exchangeHttp(m_context, connection, request, m_options.headers, limits);
+    upstream_attempt_result result = co_await exchangeHttp(
+        m_context, connection, request, m_options.headers, limits, progress.client.body());
     m_connectionsAwaitingResponse.erase(connection);
     progress.client.setDisconnectCallback({});
     // After 421 the same request may be sent to this address again, for another incarnation of the
@@ -399,8 +415,13 @@
                  std::to_string(std::max(remaining, milliseconds(1)).count()));
     request->set(m_options.headers.expectedUpstream, incarnation.id.text());
     request->version(11);
-    if (hadLength)
+    const std::shared_ptr<request_body> &streamed = progress.client.body();
+    if (!streamed && hadLength)
         request->content_length(request->body().size());
+    else if (streamed && streamed->announcedBytes())
+        request->content_length(*streamed->announcedBytes());
+    else if (streamed)
+        request->chunked(true);
     return request;
 }
 
--- a/src/relay/traffic_server.cpp
+++ b/src/relay/traffic_server.cpp
@@ -39,6 +39,8 @@
 // limit for the large ones.
 constexpr std::uint64_t maxSmallBodyBytes = 65'536;
 constexpr std::uint64_t smallBodiesDivisor = 4;
+// Shorter bodies are not streamed: they arrive in few packets.
+constexpr std::uint64_t minStreamedBodyBytes = 8'192;
 // Retry-After of a request whose body does not fit, in seconds. Bodies in memory are let go as soon
 // as their requests end.
 constexpr const char *retryAfterHeldBytes = "1";
@@ -103,6 +105,8 @@
     // The bytes of the body of `request`, and which budget they belong to.
     byte_budget::holding heldBytes;
     bool bodyIsLarge = false;
+    // The reader of a body that is streamed; nullptr for other requests.
+    std::shared_ptr<request_parser> streamedParser;
     // Set from the first byte of a request until its response is written.
     bool requestInProgress = false;
 };
@@ -110,7 +114,7 @@
 traffic_server::traffic_server(asio::io_context &context, const tcp_endpoint &address,
                                request_handler handler, std::function<client_limits()> limits,
                                std::shared_ptr<asio::ssl::context> tls,
-                               std::uint64_t heldRequestBytes)
+                               std::uint64_t heldRequestBytes, body_streaming_rule streamsBody)
     : m_context(context)
     , m_acceptor(openListener(context, address))
     , m_handler(std::move(handler))
@@ -118,6 +122,7 @@
     , m_tls(std::move(tls))
     , m_largeBodies(heldRequestBytes)
     , m_smallBodies(heldRequestBytes / smallBodiesDivisor)
+    , m_streamsBody(std::move(streamsBody))
 {
     asio::co_spawn(m_context, acceptConnections(), asio::detached);
 }
@@ -188,6 +193,7 @@
         client->request = {};
         client->heldBytes = m_smallBodies.open();
         client->bodyIsLarge = false;
+        client->streamedParser.reset();
         try {
             keepsConnection = co_await serveNextRequest(*client);
         } catch (const std::exception &failure) {
@@ -243,8 +249,41 @@
     return false;
 }
 
-asio::awaitable<bool> traffic_server::readBody(session &client,
-                                               http::request_parser<http::string_body> &parser,
+bool traffic_server::isStreamed(const request_parser &parser) const
+{
+    const auto length = parser.content_length();
+    return m_streamsBody && (parser.chunked() || length.value_or(0) >= minStreamedBodyBytes)
+        && m_streamsBody(parser.get());
+}
+
+asio::awaitable<void> traffic_server::receiveBody(std::shared_ptr<session> client,
+                                                  std::shared_ptr<request_parser> parser,
+                                                  std::shared_ptr<client_disconnect_signal> signal)
+{
+    const std::shared_ptr<request_body> body = signal->body();
+    error_code errorCode;
+    bool fits = true;
+    while (!errorCode && fits && !parser->is_done() && !body->isAborted()) {
+        client->stream.expiresAfter(m_limits().idleTimeout);
+        co_await http::async_read_some(client->stream, client->buffer, *parser,
+                                       redirectErrorTo(errorCode));
+        // The size of a chunked body is not known before its end.
+        fits = parser->content_length() || holdBody(*client, parser->get().body().capacity());
+        body->notifyAppended();
+    }
+    // The handler may have responded before the end of the body, and then has aborted it.
+    if (parser->is_done() && fits && !body->isAborted()) {
+        client->stream.expiresNever();
+        watchForDisconnect(client, signal);
+        body->complete();
+    } else if (!body->isAborted()) {
+        body->abort();
+        signal->signalDisconnect();
+    }
+    body->endReading();
+}
+
+asio::awaitable<bool> traffic_server::readBody(session &client, request_parser &parser,
                                                error_code &errorCode)
 {
     const auto length = parser.content_length();
@@ -268,7 +307,8 @@
 {
     const client_limits limits = m_limits();
     error_code errorCode;
-    http::request_parser<http::string_body> parser;
+    const auto ownedParser = std::make_shared<request_parser>();
+    request_parser &parser = *ownedParser;
     parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     parser.body_limit(limits.bodyBytes);
     if (client.buffer.size() == 0) {
@@ -287,6 +327,13 @@
                                      redirectErrorTo(errorCode));
     if (!errorCode && parser.chunked() && parser.get().has_content_length())
         errorCode = http::error::bad_transfer_encoding;
+    if (!errorCode && isStreamed(parser)) {
+        if (!holdBody(client, parser.content_length().value_or(0)))
+            co_return co_await sendErrorResponse(client, http::status::service_unavailable);
+        client.request.base() = parser.get().base();
+        client.streamedParser = ownedParser;
+        co_return true;
+    }
     if (!errorCode && !co_await readBody(client, parser, errorCode))
         co_return co_await sendErrorResponse(client, http::status::service_unavailable);
     if (errorCode) {
@@ -314,33 +361,62 @@
                 std::string_view(client.request.target().data(), client.request.target().size()));
         co_return false;
     }
-    const bool keepAlive = client.request.keep_alive();
     const auto disconnectSignal =
         std::make_shared<client_disconnect_signal>([&socket] { return isClosedByPeer(socket); });
-    client.stream.expiresNever();
-    socket.async_wait(asio::socket_base::wait_read,
-                      [disconnectSignal, owner = client.shared_from_this()](error_code errorCode) {
-                          if (!errorCode && isClosedByPeer(owner->stream.socket()))
-                              disconnectSignal->signalDisconnect();
-                      });
-    relay_response response = co_await m_handler(client.request, *disconnectSignal);
-    disconnectSignal->setDisconnectCallback({});
+    co_return co_await respond(client.shared_from_this(), disconnectSignal);
+}
+
+void traffic_server::watchForDisconnect(const std::shared_ptr<session> &client,
+                                        const std::shared_ptr<client_disconnect_signal> &signal)
+{
+    client->stream.socket().async_wait(
+        asio::socket_base::wait_read, [signal, client](error_code errorCode) {
+            if (!errorCode && isClosedByPeer(client->stream.socket()))
+                signal->signalDisconnect();
+        });
+}
+
+asio::awaitable<bool> traffic_server::respond(std::shared_ptr<session> client,
+                                              std::shared_ptr<client_disconnect_signal> signal)
+{
+    const bool keepAlive = client->request.keep_alive();
+    const std::shared_ptr<request_parser> parser = client->streamedParser;
+    client->stream.expiresNever();
+    if (parser) {
+        // The body shares ownership of the parser, which holds the bytes.
+        const std::shared_ptr<const std::string> bytes(parser, &parser->get().body());
+        std::optional<std::uint64_t> length;
+        if (parser->content_length())
+            length = *parser->content_length();
+        signal->setBody(std::make_shared<request_body>(m_context, bytes, length));
+        asio::co_spawn(m_context, receiveBody(client, parser, signal), asio::detached);
+    } else {
+        watchForDisconnect(client, signal);
+    }
+    relay_response response = co_await m_handler(client->request, *signal);
+    signal->setDisconnectCallback({});
     error_code errorCode;
-    socket.cancel(errorCode);
-    if (disconnectSignal->hasDisconnected())
+    client->stream.socket().cancel(errorCode);
+    const bool isBodyUnread = parser && !signal->body()->isComplete();
+    if (isBodyUnread) {
+        signal->body()->abort();
+        co_await signal->body()->waitForReader();
+    }
+    if (signal->hasDisconnected())
         co_return false;
-    const bool isHeadRequest = client.request.method() == http::verb::head;
-    response.keep_alive(keepAlive && !m_draining);
-    client.stream.expiresAfter(writeTimeout);
+    const bool isHeadRequest = client->request.method() == http::verb::head;
+    response.keep_alive(keepAlive && !m_draining && !isBodyUnread);
+    client->stream.expiresAfter(writeTimeout);
     if (isHeadRequest) {
         http::response_serializer<http::string_body> serializer(response);
         serializer.split(true);
-        co_await http::async_write_header(client.stream, serializer, redirectErrorTo(errorCode));
+        co_await http::async_write_header(client->stream, serializer, redirectErrorTo(errorCode));
     } else {
-        co_await http::async_write(client.stream, response, redirectErrorTo(errorCode));
+        co_await http::async_write(client->stream, response, redirectErrorTo(errorCode));
     }
-    const bool keepsConnection = !errorCode && response.keep_alive();
-    co_return keepsConnection;
+    if (!errorCode && isBodyUnread)
+        co_await discardInput(*client);
+    co_return !errorCode && response.keep_alive();
 }
 
 } // namespace kingcuptiller
--- a/src/relay/upstream_connections.cpp
+++ b/src/relay/upstream_connections.cpp
@@ -1,8 +1,12 @@
 #include "kingcuptiller/relay/upstream_connections.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -38,6 +42,8 @@
 constexpr std::uint64_t uncountedBodyBytes = 16'384;
 // TCP_USER_TIMEOUT: a connection is closed when sent data is not acknowledged for this long.
 constexpr int tcpUserTimeoutMs = 2'000;
+// The most bytes of a streamed body that are written at once.
+constexpr std::size_t maximumPieceBytes = 16'384;
 
 auto redirectErrorTo(error_code &errorCode)
 {
@@ -140,6 +146,51 @@
     co_return errorCode;
 }
 
+// Writes a piece of a body, as a chunk where the request announces no length.
+asio::awaitable<error_code> writePiece(std::shared_ptr<upstream_connection> connection,
+                                       std::string piece, bool isChunked)
+{
+    error_code errorCode;
+    const asio::const_buffer buffer(piece.data(), piece.size());
+    if (isChunked)
+        co_await asio::async_write(connection->socket, http::make_chunk(buffer),
+                                   redirectErrorTo(errorCode));
+    else
+        co_await asio::async_write(connection->socket, buffer, redirectErrorTo(errorCode));
+    co_return errorCode;
+}
+
+// Writes a request whose body is still being received. Sets `isWritten` after its last byte.
+asio::awaitable<void> writeStreamedRequest(std::shared_ptr<upstream_connection> connection,
+                                           std::shared_ptr<const relay_request> request,
+                                           std::shared_ptr<request_body> body,
+                                           std::shared_ptr<bool> isWritten)
+{
+    const bool isChunked = !body->announcedBytes();
+    error_code errorCode;
+    http::request_serializer<http::string_body> serializer(*request);
+    serializer.split(true);
+    co_await http::async_write_header(connection->socket, serializer, redirectErrorTo(errorCode));
+    std::size_t writtenBytes = 0;
+    while (!errorCode && !body->isAborted()) {
+        co_await body->waitForMore(writtenBytes);
+        std::string piece = body->bytes().substr(writtenBytes, maximumPieceBytes);
+        if (piece.empty())
+            break;
+        writtenBytes += piece.size();
+        errorCode = co_await writePiece(connection, std::move(piece), isChunked);
+    }
+    if (!errorCode && !body->isAborted() && isChunked)
+        co_await asio::async_write(connection->socket, http::make_chunk_last(),
+                                   redirectErrorTo(errorCode));
+    if (errorCode || body->isAborted()) {
+        error_code ignored;
+        connection->socket.close(ignored);
+        co_return;
+    }
+    *isWritten = true;
+}
+
 } // namespace
 
 std::shared_ptr<upstream_connection>
@@ -204,7 +255,7 @@
 asio::awaitable<upstream_attempt_result>
 exchangeHttp(asio::io_context &context, std::shared_ptr<upstream_connection> connection,
              std::shared_ptr<const relay_request> request, const relay_headers &headers,
-             const http_exchange_limits &limits)
+             const http_exchange_limits &limits, std::shared_ptr<request_body> body)
 {
     upstream_attempt_result result;
     result.status = upstream_attempt_result::completion_status::incomplete;
@@ -213,10 +264,14 @@
     const auto requestWritten = std::make_shared<bool>(false);
     // The handler keeps the connection and the request alive, because the attempt may end before
     // the write does: when the response arrives early.
-    http::async_write(socket, *request,
-                      [connection, request, requestWritten](error_code errorCode, std::size_t) {
-                          *requestWritten = !errorCode;
-                      });
+    if (body)
+        asio::co_spawn(context, writeStreamedRequest(connection, request, body, requestWritten),
+                       asio::detached);
+    else
+        http::async_write(socket, *request,
+                          [connection, request, requestWritten](error_code errorCode, std::size_t) {
+                              *requestWritten = !errorCode;
+                          });
     if (limits.heldBytes != nullptr)
         result.heldBytes = limits.heldBytes->open();
     error_code errorCode;
