--- a/include/kingcuptiller/relay/traffic_server.h
+++ b/include/kingcuptiller/relay/traffic_server.h
@@ -132,6 +132,9 @@
     // Counts the body of `client` with `bytes`, instead of its bytes so far. Returns false when
     // they do not fit into the budget for bodies of this size.
     [[nodiscard]] bool holdBody(session &client, std::uint64_t bytes);
+    // Tells a client that waits for it to send its body.
+    boost::asio::awaitable<void> acceptBody(session &client, const request_parser &parser,
+                                            boost::system::error_code &errorCode);
     // Reads the body that follows a header, and counts it. Returns false when it does not fit into
     // the budget for bodies of its size; sets `errorCode` when reading fails.
     boost::asio::awaitable<bool> readBody(session &client, request_parser &parser,
--- a/src/relay/traffic_server.cpp
+++ b/src/relay/traffic_server.cpp
@@ -283,15 +283,21 @@
     body->endReading();
 }
 
+asio::awaitable<void> traffic_server::acceptBody(session &client, const request_parser &parser,
+                                                 error_code &errorCode)
+{
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
+        co_await asio::async_write(client.stream, asio::buffer(continueResponse),
+                                   redirectErrorTo(errorCode));
+}
+
 asio::awaitable<bool> traffic_server::readBody(session &client, request_parser &parser,
                                                error_code &errorCode)
 {
     const auto length = parser.content_length();
     if (!holdBody(client, length.value_or(0)))
         co_return false;
-    if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
-        co_await asio::async_write(client.stream, asio::buffer(continueResponse),
-                                   redirectErrorTo(errorCode));
+    co_await acceptBody(client, parser, errorCode);
     client.stream.expiresAfter(m_limits().idleTimeout);
     while (!errorCode && !parser.is_done()) {
         co_await http::async_read_some(client.stream, client.buffer, parser,
@@ -330,9 +336,10 @@
     if (!errorCode && isStreamed(parser)) {
         if (!holdBody(client, parser.content_length().value_or(0)))
             co_return co_await sendErrorResponse(client, http::status::service_unavailable);
+        co_await acceptBody(client, parser, errorCode);
         client.request.base() = parser.get().base();
         client.streamedParser = ownedParser;
-        co_return true;
+        co_return !errorCode;
     }
     if (!errorCode && !co_await readBody(client, parser, errorCode))
         co_return co_await sendErrorResponse(client, http::status::service_unavailable);
