--- a/include/kingcuptiller/node/entry_node.h
+++ b/include/kingcuptiller/node/entry_node.h
@@ -2,6 +2,7 @@
 
 #include "kingcuptiller/fleet/traffic_configuration.h"
 #include "kingcuptiller/node/fleet_feed.h"
+#include "kingcuptiller/node/load_exchange_socket.h"
 #include "kingcuptiller/relay/request_relay.h"
 #include "kingcuptiller/settings/node_settings.h"
 #include "kingcuptiller/telemetry/counters.h"
@@ -53,6 +54,8 @@
 
 private:
     void apply(const fleet_view &view, const std::optional<traffic_configuration> &configuration);
+    // The hosts of the other entries of this zone.
+    [[nodiscard]] std::vector<host_id> zonePeers() const;
     void scheduleTick();
     // Asks for credits after `delay`, unless that is to happen earlier anyway.
     void scheduleCreditRequest(milliseconds delay);
@@ -68,6 +71,7 @@
     counter &m_upstreams;
     fleet_view m_view;
     std::unique_ptr<traffic_server> m_server;
+    load_exchange_socket m_loadExchange;
     boost::asio::steady_timer m_tick;
     boost::asio::steady_timer m_leavingTimer;
     boost::asio::steady_timer m_creditTimer;
--- a/include/kingcuptiller/relay/request_relay.h
+++ b/include/kingcuptiller/relay/request_relay.h
@@ -4,6 +4,7 @@
 #include "kingcuptiller/accounts/authentication.h"
 #include "kingcuptiller/fleet/fleet_view.h"
 #include "kingcuptiller/fleet/traffic_configuration.h"
+#include "kingcuptiller/relay/load_exchange.h"
 #include "kingcuptiller/relay/region_flows.h"
 #include "kingcuptiller/relay/request_metrics.h"
 #include "kingcuptiller/relay/shared_retry_budget.h"
@@ -23,6 +24,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace kingcuptiller {
 
@@ -106,6 +108,10 @@
     // The messages by which this entry gets credits for the rate limits of accounts. Returns
     // nothing if none is due, in particular if no account has a limit.
     [[nodiscard]] std::optional<credit_request> takeCreditRequest();
+    // The load reports that upstreams have sent to this entry since the last call.
+    [[nodiscard]] std::vector<shared_load_report> takeLoadReports();
+    // Applies load reports that other entries have received.
+    void applyLoadReports(const std::vector<shared_load_report> &reports);
     [[nodiscard]] bool isShortOfCredits() const { return m_credits.isShort(); }
     void applyCreditReply(const credit_reply &reply);
     // Closes unusable idle connections and logs the number of requests sent to each region, and to
@@ -194,6 +200,7 @@
     client_limits m_limits;
     revision_number m_configurationVersion;
     weighted_split m_weightedSplit;
+    load_report_queue m_loadReports;
     account_credits m_credits;
     bool m_hasRateLimits = false;
     // The timers of requests that wait for credits.
--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -2,10 +2,12 @@
 
 #include "kingcuptiller/fleet/fleet_view.h"
 #include "kingcuptiller/fleet/traffic_configuration.h"
+#include "kingcuptiller/relay/load_exchange.h"
 #include "kingcuptiller/relay/object_placement.h"
 #include "kingcuptiller/relay/region_shares.h"
 #include "kingcuptiller/relay/route_traffic.h"
 #include "kingcuptiller/relay/service_times.h"
+#include "kingcuptiller/relay/upstream_load_report.h"
 #include "kingcuptiller/relay/upstream_signals.h"
 #include "kingcuptiller/values/time.h"
 
@@ -22,21 +24,6 @@
 
 namespace kingcuptiller {
 
-// The number of requests at an upstream, as the upstream reports it in the headers of a response.
-struct upstream_load_report
-{
-    std::uint32_t running = 0;
-    // Requests in the upstream's queue.
-    std::uint32_t waiting = 0;
-    // The largest number of requests that the upstream runs concurrently.
-    std::uint32_t slots = 0;
-    // How long work takes on the upstream's machine at present, in percent of the usual time. It
-    // changes several times a second, as other work on the machine comes and goes.
-    std::uint32_t workTimePercent = 100;
-
-    auto operator<=>(const upstream_load_report &) const = default;
-};
-
 // The entry's estimates for an upstream at the time when an attempt was sent to it. An attempt is
 // one transmission of a request to one upstream.
 struct upstream_attempt_record
@@ -195,6 +182,8 @@
     // Records that an upstream reported itself as cold (just started, with empty caches) for the
     // next `remaining` milliseconds.
     void reportColdUpstream(const upstream_id &id, milliseconds remaining, instant now);
+    // Applies load reports that other entries have received.
+    void applySharedReports(const std::vector<shared_load_report> &reports, instant now);
     // Applies what an upstream stated about its availability. No request is sent to an upstream
     // that drains or has asked for a pause.
     void applySignals(const upstream_id &id, const upstream_signals &signals, instant now);
@@ -384,11 +373,15 @@
     // other entries. The latter move from the upstream's last report to the average of its service
     // and region as the report ages.
     [[nodiscard]] static double estimatedLoad(const upstream_record &upstream, instant now);
+    // `receivedAt` is when an entry received the report, this one or another.
     static void recordLoadReport(upstream_record &upstream, const upstream_load_report &load,
-                                 instant now);
+                                 instant receivedAt);
     // The expected work time relative to the usual one: the reported one, which loses its weight
     // within a fraction of a second.
     [[nodiscard]] static double relativeWorkTime(const upstream_record &upstream, instant now);
+    // Whether this entry is one of the few of its region that send a first request to the upstream
+    // without regard to its cost.
+    [[nodiscard]] bool introduces(const upstream_record &upstream) const;
     [[nodiscard]] double roundTripMs(const upstream_record &upstream) const;
     [[nodiscard]] proximity proximityOf(const upstream_record &upstream) const;
     // The cost of the bytes that a request of the route sends to the upstream and back, relative to
@@ -435,6 +428,7 @@
     upstream_choice_settings m_settings;
     std::map<upstream_id, upstream_record> m_upstreams;
     std::map<service_name, service_record> m_services;
+    std::unordered_map<std::uint64_t, upstream_id> m_upstreamsByFingerprint;
     // Measured round-trip times to other regions.
     std::map<region_name, double> m_roundTripMs;
     std::set<zone_name> m_evacuatedZones;
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -37,6 +37,8 @@
 // request waits for one.
 constexpr milliseconds creditRequestInterval{50};
 constexpr milliseconds creditShortageDelay{5};
+// Entries of a zone exchange load reports if each has at least so many others.
+constexpr std::size_t minExchangePeers = 2;
 // Part of the revocation limit that is left for the way of the last news to this entry.
 constexpr double revocationMargin = 0.2;
 
@@ -178,6 +180,12 @@
               counters)
     , m_viewCommands(counters.get("kct_entry_view_commands"))
     , m_upstreams(counters.get("kct_entry_upstreams"))
+    , m_loadExchange(context, m_settings.host, m_settings.internalPort,
+                     {[this] { return m_relay.takeLoadReports(); },
+                      [this](const std::vector<shared_load_report> &reports) {
+                          m_relay.applyLoadReports(reports);
+                      }},
+                     counters)
     , m_tick(context)
     , m_leavingTimer(context)
     , m_creditTimer(context)
@@ -216,6 +224,7 @@
     m_view = view;
     m_view.document.clear();
     m_relay.update(view, configuration);
+    m_loadExchange.setPeers(zonePeers());
     m_viewCommands.set(view.appliedCommands);
     m_upstreams.set(view.upstreams.size());
     if (configuration)
@@ -228,6 +237,20 @@
     }
 }
 
+std::vector<host_id> entry_node::zonePeers() const
+{
+    std::vector<host_id> peers;
+    for (const fleet_entry &entry : m_view.entries) {
+        const std::string &address = entry.address.text();
+        const host_id host(address.substr(0, address.rfind(':')));
+        if (entry.zone == m_settings.zone && entry.state == entry_state::serving
+            && host != m_settings.host)
+            peers.push_back(host);
+    }
+    // The reports of a few entries are hardly newer than those that this entry gets itself.
+    return peers.size() < minExchangePeers ? std::vector<host_id>() : peers;
+}
+
 void entry_node::scheduleTick()
 {
     m_tick.expires_after(tickInterval);
--- a/src/relay/request_outcomes.cpp
+++ b/src/relay/request_outcomes.cpp
@@ -77,6 +77,8 @@
         && outcome != upstream_attempt_outcome::replaced) {
         const relay_response &response = result.response;
         load = parseLoadReport(toStringView(response[m_options.headers.loadReport]));
+        if (load)
+            m_loadReports.add(upstream.incarnation, *load, now);
         if (const auto cold = parseInteger(toStringView(response[m_options.headers.coldRemaining]));
             cold && *cold > 0)
             m_upstreamChoice.reportColdUpstream(upstream.incarnation.id,
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -118,6 +118,16 @@
     }
 }
 
+std::vector<shared_load_report> request_relay::takeLoadReports()
+{
+    return m_loadReports.take(m_options.now());
+}
+
+void request_relay::applyLoadReports(const std::vector<shared_load_report> &reports)
+{
+    m_upstreamChoice.applySharedReports(reports, m_options.now());
+}
+
 void request_relay::setProcessEnd(instant end)
 {
     m_processEnd = end;
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -54,6 +54,9 @@
 // Reduces the cost of an upstream that this entry has not used. A new upstream has no cached
 // objects and would otherwise get no requests while the others have capacity.
 constexpr double unusedBonus = 16;
+// About so many entries of a region give the bonus to one upstream. If all did, most requests of a
+// region with many entries would be first uses, which find no object in the cache.
+constexpr double introducingEntries = 3;
 // All entries together use this share of the request rate that a cold upstream tolerates. The
 // margin is for an entry that is partitioned from the others and does not know how many share the
 // rate.
@@ -69,6 +72,12 @@
         / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
 }
 
+// A number from 0 to 1 that differs between entries for one upstream, and stays the same.
+double introductionDraw(const upstream_id &upstream, std::uint64_t entrySeed)
+{
+    return initialColdTokens(upstream, ~entrySeed);
+}
+
 // The limit for the expected queue time of a request, in milliseconds.
 double maxQueueMs(const upstream_choice_request &request)
 {
@@ -110,6 +119,7 @@
     for (auto &[name, service] : m_services)
         service.members.clear();
     m_entryCount = std::max<std::size_t>(m_entryCount, view.entries.size());
+    m_upstreamsByFingerprint.clear();
     m_entriesByRegion.clear();
     m_entriesInZone = 0;
     for (const fleet_entry &entry : view.entries) {
@@ -151,6 +161,8 @@
         // Upstreams may have become cold while their zone was evacuated.
         if (previouslyEvacuated.contains(incarnation.zone) && !record.evacuated)
             recordColdStart(record, service.coldTime, now);
+        m_upstreamsByFingerprint.emplace(static_cast<std::uint64_t>(fingerprintOf(incarnation)),
+                                         incarnation.id);
         m_upstreams.emplace(incarnation.id, std::move(record));
     }
     std::erase_if(m_services, [&](const auto &each) {
@@ -252,11 +264,21 @@
     const double scaleMs = timeScaleMs(service, request);
     option.cost = option.expectedMs + penalty * scaleMs;
     option.costInRegion = option.cost;
-    if (upstream.neverUsed && upstream.region == m_settings.region && isInTime(option, request))
+    if (upstream.neverUsed && introduces(upstream) && isInTime(option, request))
         option.costInRegion -= unusedBonus * scaleMs;
     return option;
 }
 
+bool upstream_choice::introduces(const upstream_record &upstream) const
+{
+    if (upstream.region != m_settings.region)
+        return false;
+    const auto entries = m_entriesByRegion.find(m_settings.region);
+    const double count = entries == m_entriesByRegion.end() ? 1 : entries->second;
+    return introductionDraw(upstream.incarnation.id, m_settings.entrySeed) * count
+        < introducingEntries;
+}
+
 void upstream_choice::recordBackoff(const upstream_record &upstream,
                                     const upstream_choice_request &request, instant now,
                                     service_options &options)
--- a/src/relay/upstream_loads.cpp
+++ b/src/relay/upstream_loads.cpp
@@ -65,14 +65,29 @@
 }
 
 void upstream_choice::recordLoadReport(upstream_record &upstream, const upstream_load_report &load,
-                                       instant now)
+                                       instant receivedAt)
 {
     const double requests = static_cast<double>(load.running) + load.waiting;
     upstream.otherRequests = std::max(requests - upstream.inFlight, 0.0);
-    upstream.lastReport = now;
+    upstream.lastReport = receivedAt;
     upstream.reportedWorkTime =
         std::clamp(load.workTimePercent / 100.0, 1 / maxWorkTimeRatio, maxWorkTimeRatio);
-    upstream.averageLoad->add(requests / std::max<double>(upstream.incarnation.slots, 1), now);
+    upstream.averageLoad->add(requests / std::max<double>(upstream.incarnation.slots, 1),
+                              receivedAt);
+}
+
+void upstream_choice::applySharedReports(const std::vector<shared_load_report> &reports,
+                                         instant now)
+{
+    for (const shared_load_report &report : reports) {
+        const auto id = m_upstreamsByFingerprint.find(static_cast<std::uint64_t>(report.upstream));
+        if (id == m_upstreamsByFingerprint.end())
+            continue;
+        upstream_record &upstream = m_upstreams.at(id->second);
+        const instant receivedAt = now - report.age;
+        if (!upstream.lastReport || *upstream.lastReport < receivedAt)
+            recordLoadReport(upstream, report.load, receivedAt);
+    }
 }
 
 double upstream_choice::estimatedLoad(const upstream_record &upstream, instant now)
