--- a/tests/platform/platform_processes.cpp
+++ b/tests/platform/platform_processes.cpp
@@ -6,6 +6,7 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -14,6 +15,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <random>
 #include <stdexcept>
 #include <utility>
@@ -74,6 +76,7 @@
     , m_settingsPath(std::move(other.m_settingsPath))
     , m_logPath(std::move(other.m_logPath))
     , m_pid(std::exchange(other.m_pid, 0))
+    , m_descriptorLimit(other.m_descriptorLimit)
 {
 }
 
@@ -90,6 +93,10 @@
     if (m_pid != 0)
         return;
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (m_descriptorLimit > 0) {
+        const rlimit limit{m_descriptorLimit, m_descriptorLimit};
+        ::setrlimit(RLIMIT_NOFILE, &limit);
+    }
     const int log = ::open(m_logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     ::dup2(log, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
@@ -106,8 +113,33 @@
     m_pid = 0;
 }
 
-platform_processes::platform_processes(std::size_t controls, std::size_t entries)
-    : m_founders(controls)
+bool platform_process::isRunning() const
+{
+    return m_pid > 0 && ::waitpid(m_pid, nullptr, WNOHANG) == 0;
+}
+
+std::uint64_t platform_process::peakResidentBytes() const
+{
+    std::ifstream status(fmt::format("/proc/{}/status", m_pid));
+    std::string word;
+    std::uint64_t kibibytes = 0;
+    while (status >> word) {
+        if (word == "VmHWM:" && status >> kibibytes)
+            return kibibytes * 1'024;
+    }
+    return 0;
+}
+
+std::size_t platform_process::openDescriptors() const
+{
+    const auto files = std::filesystem::directory_iterator(fmt::format("/proc/{}/fd", m_pid));
+    return static_cast<std::size_t>(std::distance(begin(files), end(files)));
+}
+
+platform_processes::platform_processes(std::size_t controls, std::size_t entries,
+                                       std::string memory)
+    : m_memory(std::move(memory))
+    , m_founders(controls)
 {
     std::random_device random;
     constexpr int mostTries = 100;
@@ -165,6 +197,16 @@
     return endpoint(host_kind::entry, number, readyPort);
 }
 
+tcp_endpoint platform_processes::directoryEndpoint(std::size_t number) const
+{
+    return endpoint(host_kind::entry, number, directoryPort);
+}
+
+tcp_endpoint platform_processes::internalEndpoint(std::size_t number) const
+{
+    return endpoint(host_kind::control, number, internalPort);
+}
+
 std::string platform_processes::zoneOf(std::size_t number)
 {
     return fmt::format("zone-{}", number % regionCount);
@@ -208,14 +250,15 @@
         "[host]\nname = {}-{}\naddress = {}\nzone = {}\nregion = {}\n\n[places]\nzones =\n{}\n"
         "[listen]\ntraffic = {}\nready = {}\ncontrol = {}\ndirectory = {}\nmetrics = {}\n"
         "internal_port = {}\n\n[control]\nseeds = {}\nfounding = true\ndata_folder = {}\n\n"
-        "[process]\nshutdown_limit = 6 s\n\n[directory]\nlongest_lifetime = 5 s\n\n"
+        "[process]\nshutdown_limit = 6 s\nmemory = {}\n\n[directory]\nlongest_lifetime = 5 s\n\n"
         "[retries]\nshare = 0.2\nslack = 64\nwindow = 10 s\n\n[steering]\nlargest_shift = 0.15\n",
         isControl ? "control" : "entry", number,
         endpoint(kind, number, internalPort).address().to_string(), zoneOf(number),
         regionOf(number), zones, listen(!isControl, trafficPort), listen(!isControl, readyPort),
         listen(isControl, controlPort), listen(!isControl, directoryPort),
         listen(true, metricsPort), internalPort, seeds,
-        isControl ? fmt::format("{}/control-{}-data", m_folder.path, number) : std::string());
+        isControl ? fmt::format("{}/control-{}-data", m_folder.path, number) : std::string(),
+        m_memory);
 }
 
 } // namespace kingcuptiller
--- a/tests/platform/platform_processes.h
+++ b/tests/platform/platform_processes.h
@@ -28,6 +28,13 @@
     void start();
     // Kills the process without notice.
     void kill();
+    // Lets the process have at most `count` open files from its next start on.
+    void limitDescriptors(std::size_t count) { m_descriptorLimit = count; }
+
+    [[nodiscard]] bool isRunning() const;
+    // The largest resident memory of the process so far, and the files that it has open now.
+    [[nodiscard]] std::uint64_t peakResidentBytes() const;
+    [[nodiscard]] std::size_t openDescriptors() const;
 
 private:
     std::string m_program;
@@ -35,6 +42,8 @@
     std::string m_settingsPath;
     std::string m_logPath;
     pid_t m_pid = 0;
+    // 0 for the limit of this process.
+    std::size_t m_descriptorLimit = 0;
 };
 
 // Control hosts and entries on loopback addresses that nobody else uses. Host i of each kind is in
@@ -43,7 +52,8 @@
 class platform_processes
 {
 public:
-    platform_processes(std::size_t controls, std::size_t entries);
+    // `memory` is the memory setting of each process, such as "256 MiB".
+    platform_processes(std::size_t controls, std::size_t entries, std::string memory = "256 MiB");
     ~platform_processes();
     platform_processes(const platform_processes &) = delete;
     platform_processes &operator=(const platform_processes &) = delete;
@@ -51,13 +61,17 @@
     // Starts all processes but the entries from `firstLateEntry` on.
     void start(std::size_t firstLateEntry);
 
+    [[nodiscard]] platform_process &control(std::size_t number) { return m_controls.at(number); }
     [[nodiscard]] platform_process &entry(std::size_t number) { return m_entries.at(number); }
     // Where control hosts take calls, entries requests, and stand-in upstreams listen.
     [[nodiscard]] tcp_endpoint controlEndpoint(std::size_t number) const;
     [[nodiscard]] tcp_endpoint trafficEndpoint(std::size_t number) const;
     [[nodiscard]] tcp_endpoint upstreamEndpoint(std::size_t number) const;
-    // Where an entry says whether it is ready.
+    // Where an entry says whether it is ready, and answers the look-ups of clients.
     [[nodiscard]] tcp_endpoint readyEndpoint(std::size_t number) const;
+    [[nodiscard]] tcp_endpoint directoryEndpoint(std::size_t number) const;
+    // Where a control host takes connections of other hosts and entries.
+    [[nodiscard]] tcp_endpoint internalEndpoint(std::size_t number) const;
     [[nodiscard]] static std::string zoneOf(std::size_t number);
     [[nodiscard]] std::size_t controlCount() const { return m_controls.size(); }
     [[nodiscard]] std::size_t entryCount() const { return m_entries.size(); }
@@ -71,6 +85,7 @@
 
     temporary_folder m_folder;
     std::string m_network;
+    std::string m_memory;
     std::size_t m_founders;
     std::vector<platform_process> m_controls;
     std::vector<platform_process> m_entries;
