Bound what clients can make a process hold

Trailers and chunk extensions without end filled the input buffer of a connection, which had no limit. It is bounded now, the heads of all requests have a budget by what their fields take in memory, and bodies count as they arrive and no more when they are announced. Beyond a number of connections, the one that has waited longest for a complete request is closed. Frames between hosts are read as they arrive, within a budget, and connections on which nothing arrives are closed. The limits follow from the memory and the descriptors that the settings give.

--- a/include/kingcuptiller/node/control_node.h
+++ b/include/kingcuptiller/node/control_node.h
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -57,6 +58,12 @@
     milliseconds timeoutCheckInterval{100};
     // How often a host reports to the leader whose heartbeats it has answered.
     milliseconds heartbeatReportInterval{500};
+    // Limits of the bytes of frames that have arrived in part, and of the connections that other
+    // hosts and entries have opened.
+    std::uint64_t heldFrameBytes = std::uint64_t{64} * 1024 * 1024;
+    std::size_t maximumConnections = 4'096;
+    // A connection on which no frame has arrived for this long after it was opened is closed.
+    milliseconds firstFrameLimit{3'000};
     quota_tolerance quota;
     // Reads the client accounts in a configuration as operators write it. Throws `error` with
     // `change_malformed`. Empty if the deployment has no accounts.
@@ -138,6 +145,13 @@
         std::uint64_t appliedCommands = 0;
     };
 
+    // A connection on which no frame has arrived yet.
+    struct silent_connection
+    {
+        std::weak_ptr<frame_connection> connection;
+        instant openedAt;
+    };
+
     // From which state a view leads to which.
     struct view_span
     {
@@ -177,6 +191,10 @@
 
     // control_links.cpp
     boost::asio::awaitable<void> acceptAll();
+    // Whether another connection may be accepted; closes a silent one if that makes room.
+    [[nodiscard]] bool makeRoom();
+    void noteSpoken(const std::shared_ptr<frame_connection> &connection);
+    void closeSilentConnections();
     boost::asio::awaitable<void> dial(host_id host);
     void noteHost(const host_id &host);
     void dialPeers();
@@ -248,6 +266,9 @@
     std::map<host_id, peer_link> m_peers;
     std::map<frame_connection *, entry_feed> m_entries;
     std::set<std::shared_ptr<frame_connection>> m_accepted;
+    // Those on which no frame has arrived yet, in the order in which they were opened.
+    std::deque<silent_connection> m_silent;
+    byte_budget m_heldFrames;
 
     struct waiting_call
     {
--- a/include/kingcuptiller/node/frame_connection.h
+++ b/include/kingcuptiller/node/frame_connection.h
@@ -7,6 +7,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include "kingcuptiller/relay/byte_budget.h"
+
 #include <array>
 #include <cstddef>
 #include <deque>
@@ -54,11 +56,14 @@
 // for each message between regions; these connections are kept.
 //
 // A peer that does not acknowledge bytes for two seconds, sends a frame over 8 MiB, or does not
-// read what it is sent, loses the connection. All callbacks run in the thread of the context.
+// read what it is sent, loses the connection, and so does one whose frame does not fit into the
+// budget for the bytes of unfinished frames. All callbacks run in the thread of the context.
 class frame_connection : public std::enable_shared_from_this<frame_connection>
 {
 public:
-    explicit frame_connection(boost::asio::ip::tcp::socket socket);
+    // `heldBytes` counts the bytes of a frame that has arrived in part.
+    explicit frame_connection(boost::asio::ip::tcp::socket socket,
+                              byte_budget::holding heldBytes = {});
 
     // Reads until the connection ends; then `onClose` is called once.
     void start(std::function<void(frame)> onFrame, std::function<void()> onClose);
@@ -67,7 +72,10 @@
 
 private:
     void readHeader();
+    // Reads the rest of a body of `size` bytes, and memory grows as it arrives: a peer may announce
+    // a large frame and send nothing.
     void readBody(std::size_t size);
+    void finishFrame();
     void writeNext();
 
     boost::asio::ip::tcp::socket m_socket;
@@ -75,6 +83,7 @@
     std::function<void()> m_onClose;
     std::array<unsigned char, 5> m_header{};
     std::string m_body;
+    byte_budget::holding m_heldBytes;
     std::deque<std::string> m_queue;
     std::size_t m_queuedBytes = 0;
 };
--- a/include/kingcuptiller/relay/http_types.h
+++ b/include/kingcuptiller/relay/http_types.h
@@ -17,6 +17,8 @@
 
 using relay_request = boost::beast::http::request<boost::beast::http::string_body>;
 using relay_response = boost::beast::http::response<boost::beast::http::string_body>;
+// The request line and the fields of a request, without its body.
+using request_head = boost::beast::http::request_header<>;
 using tcp_endpoint = boost::asio::ip::tcp::endpoint;
 
 // Parses "IP:port", an address to connect to or to listen on. Throws `error` with
--- a/include/kingcuptiller/relay/request_relay.h
+++ b/include/kingcuptiller/relay/request_relay.h
@@ -96,7 +96,7 @@
                                                                 client_disconnect_signal &client);
 
     // Whether the body of the request is sent to the upstream while it is received.
-    [[nodiscard]] bool streamsBody(const relay_request &head) const;
+    [[nodiscard]] bool streamsBody(const request_head &head) const;
     // Returns the limits for client requests from the current configuration.
     [[nodiscard]] client_limits limits() const;
     // Returns whether a configuration is known, so that requests can be forwarded.
--- a/include/kingcuptiller/relay/traffic_server.h
+++ b/include/kingcuptiller/relay/traffic_server.h
@@ -9,10 +9,10 @@
 #include <boost/asio/ssl/context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <utility>
@@ -20,6 +20,10 @@
 
 namespace kingcuptiller {
 
+namespace internal {
+struct received_body;
+}
+
 // Informs the handler of a request that the client has closed its connection.
 class client_disconnect_signal
 {
@@ -68,30 +72,40 @@
 
 // Decides by the head of a request whether its body is received while the request is handled; see
 // `client_disconnect_signal::body`. Bodies that are short are always received before.
-using body_streaming_rule = std::function<bool(const relay_request &head)>;
+using body_streaming_rule = std::function<bool(const request_head &head)>;
+
+// What one server may hold for all its clients together.
+struct server_capacity
+{
+    // The large bodies of all requests that are being read or handled, in bytes. One of the largest
+    // size that configurations permit fits. Small bodies have a limit of their own, so that large
+    // ones do not keep them out.
+    std::uint64_t largeBodyBytes = std::uint64_t{64} * 1024 * 1024;
+    // The heads of these requests, with what their fields take in memory.
+    std::uint64_t headBytes = std::uint64_t{32} * 1024 * 1024;
+    // When a client connects beyond this, the connection that has waited longest for a complete
+    // request is closed.
+    std::size_t connections = 4'096;
+
+    bool operator==(const server_capacity &) const = default;
+};
 
 // An HTTP/1.1 server that listens on one address and runs entirely in the thread that runs
 // `context`. It reads each request completely, unless its body is streamed, and handles the
 // requests of a connection one after another. For a malformed request, or one that exceeds the
-// limits, it sends 400, 408, 413 or 431 and closes the connection; where the bodies of all requests
-// would take too much memory, 503 with Retry-After. A request whose client has closed the
+// limits, it sends 400, 408, 413 or 431 and closes the connection; where the requests of all
+// clients would take too much memory, 503 with Retry-After. A request whose client has closed the
 // connection before the request is read, as happens while this process is suspended, is dropped
 // without being handled.
 class traffic_server
 {
 public:
-    // The limit, in bytes, of the large bodies of all requests that are being read or handled. One
-    // of the largest size that configurations permit fits. Small bodies have a limit of their own,
-    // so that large ones do not keep them out.
-    static constexpr std::uint64_t defaultHeldRequestBytes = std::uint64_t{64} * 1024 * 1024;
-
     // Starts to listen. `limits` is called for each request. Connections use TLS when `tls` is not
     // nullptr. Throws `error` with `port_unavailable` when it cannot listen on `address`.
     traffic_server(boost::asio::io_context &context, const tcp_endpoint &address,
                    request_handler handler, std::function<client_limits()> limits,
                    std::shared_ptr<boost::asio::ssl::context> tls = nullptr,
-                   std::uint64_t heldRequestBytes = defaultHeldRequestBytes,
-                   body_streaming_rule streamsBody = {});
+                   const server_capacity &capacity = {}, body_streaming_rule streamsBody = {});
     ~traffic_server();
     traffic_server(const traffic_server &) = delete;
     traffic_server &operator=(const traffic_server &) = delete;
@@ -108,7 +122,7 @@
 
 private:
     struct session;
-    using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using request_parser = boost::beast::http::request_parser<internal::received_body>;
 
     boost::asio::awaitable<void> acceptConnections();
     boost::asio::awaitable<void> serveConnection(std::shared_ptr<session> client);
@@ -129,6 +143,13 @@
     // Reads a request into `client.request`. Returns false when there is none and the connection is
     // to be closed; sends an error response first where appropriate.
     boost::asio::awaitable<bool> readRequest(session &client);
+    // Makes room for a new connection if there are too many. Returns false if there is none.
+    [[nodiscard]] bool makeRoom();
+    // Notes that a connection waits for a complete request, or that it does not wait any more.
+    void startWaiting(session &client);
+    void stopWaiting(session &client);
+    // Counts the head of a request that has been read. Returns false when it does not fit.
+    [[nodiscard]] bool holdHead(session &client, const request_parser &parser);
     // Counts the body of `client` with `bytes`, instead of its bytes so far. Returns false when
     // they do not fit into the budget for bodies of this size.
     [[nodiscard]] bool holdBody(session &client, std::uint64_t bytes);
@@ -152,6 +173,11 @@
     std::function<client_limits()> m_limits;
     std::set<std::shared_ptr<session>> m_sessions;
     std::shared_ptr<boost::asio::ssl::context> m_tls;
+    server_capacity m_capacity;
+    // Connections that wait for a complete request, those that have waited longest first.
+    std::map<std::uint64_t, session *> m_waiting;
+    std::uint64_t m_lastWaitingNumber = 0;
+    byte_budget m_heads;
     byte_budget m_largeBodies;
     byte_budget m_smallBodies;
     body_streaming_rule m_streamsBody;
--- a/include/kingcuptiller/settings/node_settings.h
+++ b/include/kingcuptiller/settings/node_settings.h
@@ -5,6 +5,7 @@
 #include "kingcuptiller/values/identifiers.h"
 #include "kingcuptiller/values/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -42,6 +43,8 @@
 
     // The memory that the process may use; the platform ends a process that uses more.
     std::uint64_t memoryBytes = std::uint64_t{256} * 1024 * 1024;
+    // The files that the process may open; 0 for the limit of the operating system.
+    std::size_t descriptors = 0;
     // The time between SIGTERM and the end of the process at the latest.
     milliseconds shutdownLimit{6'000};
     // How long clients may keep an answer of the directory.
--- a/src/node/control_links.cpp
+++ b/src/node/control_links.cpp
@@ -44,13 +44,19 @@
             co_await pause.async_wait(into(problem));
             continue;
         }
-        const auto connection = std::make_shared<frame_connection>(std::move(socket));
+        if (!makeRoom())
+            continue;
+        const auto connection =
+            std::make_shared<frame_connection>(std::move(socket), m_heldFrames.open());
         m_accepted.insert(connection);
+        m_silent.push_back({connection, m_options.now()});
         const std::weak_ptr<frame_connection> weak = connection;
         connection->start(
             [this, weak](const frame &received) {
-                if (const auto open = weak.lock())
+                if (const auto open = weak.lock()) {
+                    noteSpoken(open);
                     receive(open, received);
+                }
             },
             [this, weak] {
                 const auto closed = weak.lock();
@@ -60,6 +66,43 @@
     }
 }
 
+bool control_node::makeRoom()
+{
+    if (m_accepted.size() < m_options.maximumConnections)
+        return true;
+    const bool canClose = !m_silent.empty();
+    log_line(log_level::warning, "control",
+             canClose ? "silent_connection_closed" : "connection_refused")
+        .field("connections", static_cast<std::uint64_t>(m_accepted.size()))
+        .field("limit", static_cast<std::uint64_t>(m_options.maximumConnections));
+    if (!canClose)
+        return false;
+    const auto oldest = m_silent.front().connection.lock();
+    m_silent.pop_front();
+    if (oldest)
+        oldest->close();
+    return true;
+}
+
+void control_node::noteSpoken(const std::shared_ptr<frame_connection> &connection)
+{
+    std::erase_if(m_silent, [&](const silent_connection &each) {
+        const auto open = each.connection.lock();
+        return !open || open == connection;
+    });
+}
+
+void control_node::closeSilentConnections()
+{
+    const instant now = m_options.now();
+    while (!m_silent.empty() && now - m_silent.front().openedAt >= m_options.firstFrameLimit) {
+        const auto connection = m_silent.front().connection.lock();
+        m_silent.pop_front();
+        if (connection)
+            connection->close();
+    }
+}
+
 void control_node::noteHost(const host_id &host)
 {
     if (host == m_options.host || host.empty())
--- a/src/node/control_node.cpp
+++ b/src/node/control_node.cpp
@@ -34,6 +34,7 @@
     , m_tick(context)
     , m_lastTick(m_options.now())
     , m_viewsEncoded(counters.get("kct_control_views_encoded"))
+    , m_heldFrames(m_options.heldFrameBytes)
 {
     m_options.replicas.hosts = m_options.seeds;
     m_options.replicas.maximumVoters = m_options.maximumVoters;
@@ -201,6 +202,7 @@
         reopenReplica();
     if (m_replica)
         guardDisk([this] { runReplica(); });
+    closeSilentConnections();
     expireCalls();
     reportHeartbeats();
     dialPeers();
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -1,5 +1,6 @@
 #include "kingcuptiller/node/entry_node.h"
 
+#include "kingcuptiller/node/process_capacity.h"
 #include "kingcuptiller/telemetry/log.h"
 #include "kingcuptiller/transport/system_clock.h"
 #include "kingcuptiller/values/error.h"
@@ -30,8 +31,7 @@
 constexpr milliseconds shutdownReserve{300};
 constexpr milliseconds lastAnswersTime{150};
 constexpr milliseconds leavingCheck{50};
-// Response bodies take at most this part of the memory of the process, and so do request bodies,
-// which are copied once for the upstream.
+// Response bodies take at most this part of the memory of the process, and so do request bodies.
 constexpr std::uint64_t heldBodiesDivisor = 4;
 // How often the entry checks whether it has to ask for credits, and how soon it does so when a
 // request waits for one.
@@ -197,8 +197,10 @@
         [this](const relay_request &request, client_disconnect_signal &client) {
             return m_relay.handle(request, client);
         },
-        [this] { return m_relay.limits(); }, nullptr, m_settings.memoryBytes / heldBodiesDivisor,
-        [this](const relay_request &head) { return m_relay.streamsBody(head); });
+        [this] { return m_relay.limits(); }, nullptr,
+        divideCapacity(m_settings.memoryBytes, availableDescriptors(m_settings.descriptors))
+            .requests,
+        [this](const request_head &head) { return m_relay.streamsBody(head); });
     m_feed = std::make_unique<feed_thread>(
         m_settings, *m_settings.traffic, m_platform.decodeConfiguration,
         [this](fleet_view view, std::optional<traffic_configuration> configuration) {
--- a/src/node/frame_connection.cpp
+++ b/src/node/frame_connection.cpp
@@ -6,6 +6,9 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace kingcuptiller {
 
 namespace asio = boost::asio;
@@ -16,11 +19,14 @@
 constexpr std::size_t longestFrame = std::size_t{8} * 1024 * 1024;
 constexpr std::size_t longestQueue = std::size_t{16} * 1024 * 1024;
 constexpr int unacknowledgedMs = 2'000;
+// Memory for the body of a frame grows in steps of this size.
+constexpr std::size_t bodyStep = 65'536;
 
 } // namespace
 
-frame_connection::frame_connection(asio::ip::tcp::socket socket)
+frame_connection::frame_connection(asio::ip::tcp::socket socket, byte_budget::holding heldBytes)
     : m_socket(std::move(socket))
+    , m_heldBytes(std::move(heldBytes))
 {
     error_code ignored;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -63,24 +69,33 @@
 
 void frame_connection::readBody(std::size_t size)
 {
-    if (size > longestFrame) {
+    const std::size_t begin = m_body.size();
+    const std::size_t end = std::min(size, begin + bodyStep);
+    if (size > longestFrame || !m_heldBytes.resize(end)) {
         close();
         return;
     }
-    m_body.resize(size);
-    asio::async_read(
-        m_socket, asio::buffer(m_body),
-        [self = shared_from_this()](error_code problem, std::size_t) {
-            if (problem || !self->m_onFrame) {
-                self->close();
-                return;
-            }
-            // A copy, because the callback may close the connection.
-            const auto onFrame = self->m_onFrame;
-            onFrame({static_cast<frame_kind>(self->m_header[4]), std::exchange(self->m_body, {})});
-            if (self->m_socket.is_open())
-                self->readHeader();
-        });
+    m_body.resize(end);
+    asio::async_read(m_socket, asio::buffer(m_body.data() + begin, end - begin),
+                     [self = shared_from_this(), size](error_code problem, std::size_t) {
+                         if (problem || !self->m_onFrame)
+                             self->close();
+                         else if (self->m_body.size() < size)
+                             self->readBody(size);
+                         else
+                             self->finishFrame();
+                     });
+}
+
+void frame_connection::finishFrame()
+{
+    // A copy, because the callback may close the connection.
+    const auto onFrame = m_onFrame;
+    onFrame({static_cast<frame_kind>(m_header[4]), std::exchange(m_body, {})});
+    // A smaller number of bytes always fits.
+    (void)m_heldBytes.resize(0);
+    if (m_socket.is_open())
+        readHeader();
 }
 
 void frame_connection::send(frame_kind kind, const std::string &body)
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -204,7 +204,7 @@
     co_return co_await runAttempts(progress);
 }
 
-bool request_relay::streamsBody(const relay_request &head) const
+bool request_relay::streamsBody(const request_head &head) const
 {
     if (!m_routes)
         return false;
--- a/src/relay/traffic_server.cpp
+++ b/src/relay/traffic_server.cpp
@@ -2,6 +2,7 @@
 
 #include "kingcuptiller/relay/client_stream.h"
 #include "kingcuptiller/telemetry/log.h"
+#include "received_body.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -34,11 +35,16 @@
 constexpr std::chrono::seconds writeTimeout{10};
 // How long input is discarded after 503, and the size of one read.
 constexpr milliseconds discardTime{1'000};
-constexpr std::size_t discardedBytesPerRead = 65'536;
+constexpr std::size_t discardedBytesPerRead = 4'096;
 // A body up to this size, in bytes, is small. All small bodies together may take this part of the
 // limit for the large ones.
 constexpr std::uint64_t maxSmallBodyBytes = 65'536;
 constexpr std::uint64_t smallBodiesDivisor = 4;
+// Limit of the bytes read ahead of the parser: a header section, a trailer section, a chunk-size
+// line, or the begin of the next request. Larger if header sections may be larger.
+constexpr std::size_t minBufferBytes = 65'536;
+// What each field of a header section takes in memory beside its text.
+constexpr std::uint64_t bytesPerField = 96;
 // Shorter bodies are not streamed: they arrive in few packets.
 constexpr std::uint64_t minStreamedBodyBytes = 8'192;
 // Retry-After of a request whose body does not fit, in seconds. Bodies in memory are let go as soon
@@ -107,6 +113,9 @@
     bool bodyIsLarge = false;
     // The reader of a body that is streamed; nullptr for other requests.
     std::shared_ptr<request_parser> streamedParser;
+    byte_budget::holding heldHead;
+    // The key of this session in `m_waiting`; 0 while it does not wait.
+    std::uint64_t waitingNumber = 0;
     // Set from the first byte of a request until its response is written.
     bool requestInProgress = false;
 };
@@ -114,14 +123,16 @@
 traffic_server::traffic_server(asio::io_context &context, const tcp_endpoint &address,
                                request_handler handler, std::function<client_limits()> limits,
                                std::shared_ptr<asio::ssl::context> tls,
-                               std::uint64_t heldRequestBytes, body_streaming_rule streamsBody)
+                               const server_capacity &capacity, body_streaming_rule streamsBody)
     : m_context(context)
     , m_acceptor(openListener(context, address))
     , m_handler(std::move(handler))
     , m_limits(std::move(limits))
     , m_tls(std::move(tls))
-    , m_largeBodies(heldRequestBytes)
-    , m_smallBodies(heldRequestBytes / smallBodiesDivisor)
+    , m_capacity(capacity)
+    , m_heads(capacity.headBytes)
+    , m_largeBodies(capacity.largeBodyBytes)
+    , m_smallBodies(capacity.largeBodyBytes / smallBodiesDivisor)
     , m_streamsBody(std::move(streamsBody))
 {
     asio::co_spawn(m_context, acceptConnections(), asio::detached);
@@ -172,6 +183,8 @@
             co_await pause.async_wait(redirectErrorTo(errorCode));
             continue;
         }
+        if (!makeRoom())
+            continue;
         socket.set_option(asio::ip::tcp::no_delay(true), errorCode);
         auto client = std::make_shared<session>(std::move(socket), m_tls);
         m_sessions.insert(client);
@@ -179,9 +192,40 @@
     }
 }
 
+bool traffic_server::makeRoom()
+{
+    if (m_sessions.size() < m_capacity.connections)
+        return true;
+    const bool canClose = !m_waiting.empty();
+    log_line(log_level::warning, "traffic", canClose ? "connection_evicted" : "connection_refused")
+        .field("connections", static_cast<std::uint64_t>(m_sessions.size()))
+        .field("limit", static_cast<std::uint64_t>(m_capacity.connections));
+    if (!canClose)
+        return false;
+    session &oldest = *m_waiting.begin()->second;
+    stopWaiting(oldest);
+    error_code ignored;
+    oldest.stream.socket().close(ignored);
+    return true;
+}
+
+void traffic_server::startWaiting(session &client)
+{
+    stopWaiting(client);
+    client.waitingNumber = ++m_lastWaitingNumber;
+    m_waiting.emplace(client.waitingNumber, &client);
+}
+
+void traffic_server::stopWaiting(session &client)
+{
+    m_waiting.erase(client.waitingNumber);
+    client.waitingNumber = 0;
+}
+
 asio::awaitable<void> traffic_server::serveConnection(std::shared_ptr<session> client)
 {
     bool keepsConnection = true;
+    startWaiting(*client);
     if (client->stream.usesTls()) {
         error_code errorCode;
         client->stream.expiresAfter(m_limits().headerTimeout);
@@ -194,6 +238,8 @@
         client->heldBytes = m_smallBodies.open();
         client->bodyIsLarge = false;
         client->streamedParser.reset();
+        client->heldHead = m_heads.open();
+        startWaiting(*client);
         try {
             keepsConnection = co_await serveNextRequest(*client);
         } catch (const std::exception &failure) {
@@ -201,6 +247,7 @@
             keepsConnection = false;
         }
     }
+    stopWaiting(*client);
     error_code ignored;
     client->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     m_sessions.erase(client);
@@ -211,7 +258,7 @@
     const bool isUnavailable = status == http::status::service_unavailable;
     relay_response response =
         makeTextResponse(status,
-                         isUnavailable ? "not run: no memory for the body at present\n"
+                         isUnavailable ? "not run: no memory for the request at present\n"
                                        : "the request breaks a limit or is malformed\n");
     response.keep_alive(false);
     if (isUnavailable)
@@ -234,6 +281,19 @@
         co_await client.stream.async_read_some(asio::buffer(discarded), redirectErrorTo(errorCode));
 }
 
+bool traffic_server::holdHead(session &client, const request_parser &parser)
+{
+    std::uint64_t bytes = 0;
+    for (const auto &field : parser.get().base())
+        bytes += field.name_string().size() + field.value().size() + bytesPerField;
+    if (client.heldHead.resize(bytes))
+        return true;
+    log_line(log_level::warning, "traffic", "head_rejected")
+        .field("bytes", bytes)
+        .field("held", m_heads.heldBytes());
+    return false;
+}
+
 bool traffic_server::holdBody(session &client, std::uint64_t bytes)
 {
     const bool isLarge = bytes > maxSmallBodyBytes;
@@ -263,12 +323,11 @@
     const std::shared_ptr<request_body> body = signal->body();
     error_code errorCode;
     bool fits = true;
+    client->stream.expiresAfter(m_limits().idleTimeout);
     while (!errorCode && fits && !parser->is_done() && !body->isAborted()) {
-        client->stream.expiresAfter(m_limits().idleTimeout);
         co_await http::async_read_some(client->stream, client->buffer, *parser,
                                        redirectErrorTo(errorCode));
-        // The size of a chunked body is not known before its end.
-        fits = parser->content_length() || holdBody(*client, parser->get().body().capacity());
+        fits = holdBody(*client, parser->get().body().size());
         body->notifyAppended();
     }
     // The handler may have responded before the end of the body, and then has aborted it.
@@ -294,16 +353,18 @@
 asio::awaitable<bool> traffic_server::readBody(session &client, request_parser &parser,
                                                error_code &errorCode)
 {
-    const auto length = parser.content_length();
-    if (!holdBody(client, length.value_or(0)))
+    const std::uint64_t announcedBytes = parser.content_length().value_or(0);
+    // A body that can never fit is not read.
+    if (announcedBytes > m_capacity.largeBodyBytes && !holdBody(client, announcedBytes))
         co_return false;
     co_await acceptBody(client, parser, errorCode);
     client.stream.expiresAfter(m_limits().idleTimeout);
     while (!errorCode && !parser.is_done()) {
         co_await http::async_read_some(client.stream, client.buffer, parser,
                                        redirectErrorTo(errorCode));
-        // The size of a chunked body is not known before its end.
-        if (!length && !holdBody(client, parser.get().body().capacity()))
+        // Counted as it arrives: a client that announces a large body and sends it slowly, or not
+        // at all, must not keep out the bodies of others.
+        if (!holdBody(client, parser.get().body().size()))
             co_return false;
     }
     co_return true;
@@ -317,6 +378,7 @@
     request_parser &parser = *ownedParser;
     parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     parser.body_limit(limits.bodyBytes);
+    client.buffer.max_size(std::max(minBufferBytes, 2 * limits.headerBytes));
     if (client.buffer.size() == 0) {
         // The idle timeout applies between requests, the header timeout from the first byte of a
         // request.
@@ -333,9 +395,9 @@
                                      redirectErrorTo(errorCode));
     if (!errorCode && parser.chunked() && parser.get().has_content_length())
         errorCode = http::error::bad_transfer_encoding;
+    if (!errorCode && !holdHead(client, parser))
+        co_return co_await sendErrorResponse(client, http::status::service_unavailable);
     if (!errorCode && isStreamed(parser)) {
-        if (!holdBody(client, parser.content_length().value_or(0)))
-            co_return co_await sendErrorResponse(client, http::status::service_unavailable);
         co_await acceptBody(client, parser, errorCode);
         client.request.base() = parser.get().base();
         client.streamedParser = ownedParser;
@@ -350,7 +412,8 @@
             co_return co_await sendErrorResponse(client, statusForError(errorCode));
         co_return false;
     }
-    client.request = parser.release();
+    client.request.base() = std::move(parser.get().base());
+    client.request.body() = std::move(parser.get().body());
     co_return true;
 }
 
@@ -360,6 +423,7 @@
         co_return false;
     if (!co_await readRequest(client))
         co_return false;
+    stopWaiting(client);
     asio::ip::tcp::socket &socket = client.stream.socket();
     if (isClosedByPeer(socket)) {
         log_line(log_level::debug, "traffic", "abandoned_request_dropped")
--- a/src/settings/node_settings.cpp
+++ b/src/settings/node_settings.cpp
@@ -11,6 +11,7 @@
 constexpr double mostRetryShare = 10;
 constexpr std::uint64_t leastMemory = std::uint64_t{16} * 1024 * 1024;
 constexpr std::uint64_t mostMemory = std::uint64_t{1024} * 1024 * 1024 * 1024;
+constexpr long mostDescriptors = 100'000'000;
 constexpr const char *whiteSpace = " \t\r\n";
 constexpr double mostRetrySlack = 1'000'000;
 constexpr double mostQuotaOverage = 10;
@@ -118,6 +119,8 @@
     if (settings.control && settings.dataFolder.empty())
         reader.refuse("control", "data_folder", "a control host needs a data folder");
     settings.memoryBytes = reader.bytes("process", "memory", "256 MiB", {leastMemory, mostMemory});
+    settings.descriptors =
+        static_cast<std::size_t>(reader.number("process", "descriptors", 0, {0, mostDescriptors}));
     settings.shutdownLimit = reader.duration("process", "shutdown_limit", "6 s",
                                              {milliseconds(500), milliseconds(600'000)});
     const inclusive_range<milliseconds> lifetimes{milliseconds(100), milliseconds(600'000)};
--- a/tests/relay/held_requests_test.cpp
+++ b/tests/relay/held_requests_test.cpp
@@ -34,7 +34,7 @@
         , m_server(
               m_context, parseTcpEndpoint("127.0.0.1:0"),
               [this](const relay_request &, client_disconnect_signal &) { return handle(); },
-              [] { return client_limits(); }, nullptr, heldRequestBytes)
+              [] { return client_limits(); }, nullptr, server_capacity{heldRequestBytes})
     {
         m_thread = std::thread([this] { m_context.run(); });
     }
