Decide in one place whether a response is well formed and complete

A body without a length is complete only on an orderly end, and only once the request was written or the response announces the end. Heads are checked beyond what the parser checks: status, field names and values, and codings. Bytes that arrive before a request belong to no request.

--- a/src/relay/upstream_connections.cpp
+++ b/src/relay/upstream_connections.cpp
@@ -1,5 +1,8 @@
 #include "kingcuptiller/relay/upstream_connections.h"
 
+#include "kingcuptiller/telemetry/log.h"
+#include "response_rules.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -118,16 +121,30 @@
                                       : echoedId->value() == request[headers.requestId];
 }
 
+// How far a request has been written. Shared with the writer, which may outlive the attempt.
+struct write_progress
+{
+    bool isComplete = false;
+    bool hasFailed = false;
+};
+
 // Reads one response. `maximumBodyBytes` applies to the bytes on the wire, because chunk framing
 // may be far larger than the body. `heldBytes` is resized to the size of the body.
 asio::awaitable<error_code> readResponse(std::shared_ptr<upstream_connection> connection,
                                          http::response_parser<http::string_body> &parser,
                                          std::uint64_t maximumBodyBytes,
-                                         byte_budget::holding &heldBytes)
+                                         byte_budget::holding &heldBytes,
+                                         std::shared_ptr<const write_progress> written)
 {
     error_code errorCode;
     co_await http::async_read_header(connection->socket, connection->buffer, parser,
                                      redirectErrorTo(errorCode));
+    if (!errorCode) {
+        if (const auto fault = findFault(parser.get().base())) {
+            log_line(log_level::warning, "relay", "response_malformed").field("fault", *fault);
+            errorCode = http::error::bad_field;
+        }
+    }
     // Checked here because the parser reserves memory for the announced length before it compares
     // the length with its body limit.
     if (!errorCode && !parser.is_done() && parser.content_length().value_or(0) > maximumBodyBytes)
@@ -143,6 +160,9 @@
         if (!errorCode && (bodyBytes > maximumBodyBytes || !fits))
             errorCode = http::error::body_limit;
     }
+    if (!errorCode && parser.need_eof()
+        && !isCompleteBody({written->isComplete, written->hasFailed, !parser.get().keep_alive()}))
+        errorCode = http::error::partial_message;
     co_return errorCode;
 }
 
@@ -160,11 +180,11 @@
     co_return errorCode;
 }
 
-// Writes a request whose body is still being received. Sets `isWritten` after its last byte.
+// Writes a request whose body is still being received.
 asio::awaitable<void> writeStreamedRequest(std::shared_ptr<upstream_connection> connection,
                                            std::shared_ptr<const relay_request> request,
                                            std::shared_ptr<request_body> body,
-                                           std::shared_ptr<bool> isWritten)
+                                           std::shared_ptr<write_progress> written)
 {
     const bool isChunked = !body->announcedBytes();
     error_code errorCode;
@@ -183,12 +203,12 @@
     if (!errorCode && !body->isAborted() && isChunked)
         co_await asio::async_write(connection->socket, http::make_chunk_last(),
                                    redirectErrorTo(errorCode));
-    if (errorCode || body->isAborted()) {
-        error_code ignored;
+    written->isComplete = !errorCode && !body->isAborted();
+    written->hasFailed = !written->isComplete;
+    // The upstream must not wait for the rest of a body that does not come.
+    error_code ignored;
+    if (body->isAborted())
         connection->socket.close(ignored);
-        co_return;
-    }
-    *isWritten = true;
 }
 
 } // namespace
@@ -261,28 +281,35 @@
     result.status = upstream_attempt_result::completion_status::incomplete;
     auto &socket = connection->socket;
     const socket_timeout timeout(context, connection, limits.timeLimit);
-    const auto requestWritten = std::make_shared<bool>(false);
+    error_code errorCode;
+    // What arrives before the request belongs to no request.
+    if (isClosedOrReadable(socket)) {
+        result.status = upstream_attempt_result::completion_status::not_sent;
+        socket.close(errorCode);
+        co_return result;
+    }
+    const auto written = std::make_shared<write_progress>();
     // The handler keeps the connection and the request alive, because the attempt may end before
     // the write does: when the response arrives early.
     if (body)
-        asio::co_spawn(context, writeStreamedRequest(connection, request, body, requestWritten),
+        asio::co_spawn(context, writeStreamedRequest(connection, request, body, written),
                        asio::detached);
     else
         http::async_write(socket, *request,
-                          [connection, request, requestWritten](error_code errorCode, std::size_t) {
-                              *requestWritten = !errorCode;
+                          [connection, request, written](error_code failure, std::size_t) {
+                              written->isComplete = !failure;
+                              written->hasFailed = static_cast<bool>(failure);
                           });
     if (limits.heldBytes != nullptr)
         result.heldBytes = limits.heldBytes->open();
-    error_code errorCode;
     for (int previousResponses = 0; previousResponses <= maximumDiscardedResponses && !errorCode;
          ++previousResponses) {
         http::response_parser<http::string_body> parser;
         parser.header_limit(maximumHeaderBytes);
         parser.body_limit(limits.responseBytes);
         parser.skip(request->method() == http::verb::head);
-        errorCode =
-            co_await readResponse(connection, parser, limits.responseBytes, result.heldBytes);
+        errorCode = co_await readResponse(connection, parser, limits.responseBytes,
+                                          result.heldBytes, written);
         if (errorCode || parser.get().result_int() < 200)
             continue;
         if (belongsToRequest(parser.get(), *request, headers, connection->carriedEarlierRequest)) {
@@ -290,7 +317,7 @@
             result.response = parser.release();
             // When another response came first, or the request was not written completely, a later
             // response on this connection could not be assigned to its request.
-            if (previousResponses > 0 || !*requestWritten)
+            if (previousResponses > 0 || !written->isComplete)
                 result.response.keep_alive(false);
             break;
         }
