--- a/include/kingcuptiller/accounts/client_account.h
+++ b/include/kingcuptiller/accounts/client_account.h
@@ -66,8 +66,12 @@
 public:
     account_table() = default;
     explicit account_table(std::vector<client_account> accounts);
+    // Not copyable, because the index refers to the accounts.
     account_table(const account_table &) = delete;
     account_table &operator=(const account_table &) = delete;
+    account_table(account_table &&) = default;
+    account_table &operator=(account_table &&) = default;
+    ~account_table() = default;
 
     // Whether requests need no key, because the configuration has no accounts.
     [[nodiscard]] bool empty() const { return m_accounts.empty(); }
