Keep the leader of the credits from falling behind, and serve a part of each limit without it

An entry has at most two messages that are not answered now. Without answers it serves its part of each limit, which the leader takes off the rate of its buckets.

--- a/include/kingcuptiller/accounts/account_credits.h
+++ b/include/kingcuptiller/accounts/account_credits.h
@@ -4,10 +4,12 @@
 #include "kingcuptiller/accounts/quota_messages.h"
 #include "kingcuptiller/values/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace kingcuptiller {
 
@@ -36,6 +38,8 @@
 // round trip to the leader takes longer than a request may be delayed. An entry asks for credits
 // ahead, by its recent demand. For accounts of which it sees few requests, it serves single
 // requests ahead of a grant.
+// While the leader does not answer, each entry serves its part of the limit, which the leader takes
+// off what it grants to the others.
 //
 //     switch (credits.take(account, now).decision) ...
 //     if (credits.isRequestDue(now))
@@ -56,6 +60,8 @@
     // Takes back the credit of a request that did not run.
     void giveBack(const client_account &account, instant now);
 
+    // Sets the number of entries, among which a limit is divided while the leader does not answer.
+    void setEntryCount(std::size_t entryCount) { m_entryCount = entryCount; }
     // Whether a request waits for which no message has asked yet.
     [[nodiscard]] bool isShort() const { return m_isShort; }
     // Whether to send a message now.
@@ -70,6 +76,13 @@
         instant expiry;
     };
 
+    // The entry's part of a limit while the leader does not answer.
+    struct fallback_bucket
+    {
+        double tokens = 0;
+        instant refilledAt;
+    };
+
     struct account_record
     {
         std::deque<credit_batch> batches;
@@ -84,6 +97,8 @@
         std::uint32_t waiting = 0;
         // Credits asked for, by the messages that are not answered.
         std::uint32_t requested = 0;
+        // Set while the leader does not answer.
+        std::optional<fallback_bucket> fallback;
     };
 
     struct sent_request
@@ -101,6 +116,8 @@
 
     [[nodiscard]] account_record &recordOf(const account_name &account, instant now);
     [[nodiscard]] bool isReplyFresh(instant now) const;
+    [[nodiscard]] credit_answer takeWithoutLeader(const client_account &account,
+                                                  account_record &record, instant now) const;
     [[nodiscard]] std::uint32_t wantedCredits(const account_record &record, instant now) const;
     static void countDemand(account_record &record, instant now);
     static std::uint32_t creditsOf(const account_record &record);
@@ -118,6 +135,7 @@
     std::optional<instant> m_lastReply;
     milliseconds m_interval;
     bool m_isShort = false;
+    std::size_t m_entryCount = 1;
 };
 
 } // namespace kingcuptiller
--- a/include/kingcuptiller/accounts/account_quota_pool.h
+++ b/include/kingcuptiller/accounts/account_quota_pool.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace kingcuptiller {
@@ -31,6 +32,9 @@
 // ahead of a grant. A new leader starts with empty buckets, because entries may hold credits of
 // the previous one.
 //
+// Entries of which the leader hears nothing serve their part of the limit alone, and the buckets
+// fill so much more slowly.
+//
 // Not thread-safe.
 class account_quota_pool
 {
@@ -72,10 +76,13 @@
     {
         std::uint64_t run = 0;
         std::uint64_t sequence = 0;
+        instant heardAt;
     };
 
     // Whether the request is neither repeated nor overtaken by a later one.
-    [[nodiscard]] bool isNew(const credit_request &request);
+    [[nodiscard]] bool isNew(const credit_request &request, instant now);
+    // Sets the part of the entries of which the leader has heard lately.
+    void updateHeardShare(std::size_t entryCount, instant now);
     [[nodiscard]] double capacityOf(const account_bucket &bucket) const;
     // Removes expired credits and refills the bucket.
     void refill(account_bucket &bucket, instant now) const;
@@ -83,13 +90,16 @@
                 const credit_usage &usage) const;
     [[nodiscard]] static std::uint32_t grant(account_bucket &bucket, const endpoint_address &entry,
                                              std::uint32_t requested, instant now);
-    [[nodiscard]] std::vector<constrained_account> constrainedAccounts(instant now);
+    // Brings `m_constrained` up to date, unless that was done a moment ago.
+    void updateConstrained(instant now);
     static void noteExhaustion(const account_name &account, account_bucket &bucket);
 
     quota_tolerance m_tolerance;
     std::map<account_name, account_bucket> m_buckets;
     std::map<endpoint_address, entry_run> m_entries;
-    instant m_start;
+    double m_heardShare = 0;
+    std::vector<constrained_account> m_constrained;
+    std::optional<instant> m_constrainedAt;
 };
 
 } // namespace kingcuptiller
--- a/src/accounts/account_credits.cpp
+++ b/src/accounts/account_credits.cpp
@@ -10,7 +10,11 @@
 
 constexpr milliseconds initialInterval{100};
 // While a request waits for a credit, messages are this far apart.
-constexpr milliseconds urgentInterval{20};
+constexpr milliseconds urgentInterval{40};
+// While so many messages are not answered, the next one is sent only after this time. A leader that
+// cannot keep up would otherwise get ever more of them.
+constexpr std::size_t mostUnanswered = 2;
+constexpr milliseconds unansweredInterval{400};
 // Time constant of the average demand.
 constexpr double demandDecayMs = 500;
 // Credits are asked for ahead for the interval between messages and this time, which covers the
@@ -21,6 +25,8 @@
 constexpr double fewestRecentRequests = 1.2;
 // Without a reply for so long, the state of all accounts is unknown. Several messages may be lost.
 constexpr milliseconds replyTimeout{1'500};
+// What all entries together serve at once, at the most, when they lose the leader at one moment.
+constexpr double initialFallbackRequests = 10;
 // A reply shows that an account has room for requests ahead of a grant for so long, beyond the
 // interval between messages.
 constexpr milliseconds replyFreshness{400};
@@ -82,6 +88,24 @@
     return m_lastReply && now - *m_lastReply < m_interval + replyFreshness;
 }
 
+credit_answer account_credits::takeWithoutLeader(const client_account &account,
+                                                 account_record &record, instant now) const
+{
+    const auto entries = static_cast<double>(std::max<std::size_t>(m_entryCount, 1));
+    const double rate = account.limit.requestsPerSecond / entries;
+    if (!record.fallback)
+        record.fallback = fallback_bucket{std::min(initialFallbackRequests / entries, 1.0), now};
+    fallback_bucket &bucket = *record.fallback;
+    const double elapsedSeconds = std::max(toMs(now - bucket.refilledAt) / 1'000, 0.0);
+    bucket.tokens = std::min(bucket.tokens + elapsedSeconds * rate,
+                             std::max(account.limit.burst / entries, 1.0));
+    bucket.refilledAt = now;
+    if (bucket.tokens < 1)
+        return {credit_decision::unknown, retryAfterUnknown};
+    bucket.tokens -= 1;
+    return {};
+}
+
 credit_answer account_credits::take(const client_account &account, instant now, bool isRepeated)
 {
     if (account.limit.requestsPerSecond <= 0)
@@ -97,7 +121,8 @@
         return {};
     }
     if (!m_lastReply || now - *m_lastReply > replyTimeout)
-        return {credit_decision::unknown, retryAfterUnknown};
+        return takeWithoutLeader(account, record, now);
+    record.fallback.reset();
     const auto constrained = m_constrained.find(account.name);
     if (constrained == m_constrained.end()) {
         if (isReplyFresh(now) && record.owed < maxOwed) {
@@ -135,6 +160,8 @@
 {
     if (!m_lastSent)
         return true;
+    if (m_sent.size() >= mostUnanswered)
+        return now - *m_lastSent >= std::max(unansweredInterval, m_interval);
     return now - *m_lastSent >= (m_isShort ? std::min(urgentInterval, m_interval) : m_interval);
 }
 
@@ -203,7 +230,7 @@
     }
     m_constrained.clear();
     for (const constrained_account &each : reply.constrained)
-        m_constrained.emplace(each.account, constrained_state{each.untilRoom, now});
+        m_constrained[each.account] = {each.untilRoom, now};
 }
 
 void account_credits::settle(const sent_request &sent)
--- a/src/accounts/account_quota_pool.cpp
+++ b/src/accounts/account_quota_pool.cpp
@@ -23,6 +23,11 @@
 constexpr milliseconds shortestInterval{100};
 constexpr milliseconds longestInterval{1'000};
 constexpr milliseconds intervalPerEntry{2};
+// An entry that is silent for so long is taken to serve its part of the limits alone. Shorter than
+// the time after which entries do so.
+constexpr milliseconds silenceLimit{1'200};
+// The list of constrained accounts, which all entries get, is made at most so often.
+constexpr milliseconds constrainedInterval{40};
 constexpr double maxTimeUntilRoomMs = 10'000;
 
 double toMs(microseconds duration)
@@ -39,8 +44,9 @@
 
 void account_quota_pool::restart(instant now)
 {
-    m_start = now;
     m_entries.clear();
+    m_heardShare = 0;
+    m_constrainedAt.reset();
     for (auto &[account, bucket] : m_buckets) {
         const account_rate_limit limit = bucket.limit;
         bucket = {};
@@ -85,8 +91,9 @@
         held += credits.held;
     const double seconds = std::max(toMs(now - bucket.refilledAt) / 1'000, 0.0);
     bucket.refilledAt = now;
-    bucket.tokens = std::min(bucket.tokens + seconds * bucket.limit.requestsPerSecond,
-                             capacityOf(bucket) - held);
+    bucket.tokens =
+        std::min(bucket.tokens + seconds * bucket.limit.requestsPerSecond * m_heardShare,
+                 capacityOf(bucket) - held);
     bucket.unmet *= std::exp(-toMs(now - bucket.unmetAt) / unmetDecayMs);
     bucket.unmetAt = now;
 }
@@ -121,12 +128,22 @@
     return credits;
 }
 
-bool account_quota_pool::isNew(const credit_request &request)
+void account_quota_pool::updateHeardShare(std::size_t entryCount, instant now)
+{
+    std::erase_if(m_entries,
+                  [&](const auto &each) { return now - each.second.heardAt > silenceLimit; });
+    m_heardShare = std::min(static_cast<double>(m_entries.size())
+                                / static_cast<double>(std::max<std::size_t>(entryCount, 1)),
+                            1.0);
+}
+
+bool account_quota_pool::isNew(const credit_request &request, instant now)
 {
     entry_run &known = m_entries[request.entry];
+    known.heardAt = now;
     if (known.run == request.run && request.sequence <= known.sequence)
         return false;
-    known = {request.run, request.sequence};
+    known = {request.run, request.sequence, now};
     return true;
 }
 
@@ -144,9 +161,12 @@
         .field("entries_with_credits", std::uint64_t(bucket.holders.size()));
 }
 
-std::vector<constrained_account> account_quota_pool::constrainedAccounts(instant now)
+void account_quota_pool::updateConstrained(instant now)
 {
-    std::vector<constrained_account> result;
+    if (m_constrainedAt && now - *m_constrainedAt < constrainedInterval)
+        return;
+    m_constrainedAt = now;
+    m_constrained.clear();
     for (auto &[account, bucket] : m_buckets) {
         refill(bucket, now);
         noteExhaustion(account, bucket);
@@ -154,10 +174,9 @@
             continue;
         const double missing = bucket.tokens < 1 ? 1 - bucket.tokens + bucket.unmet : 0;
         const double untilRoomMs = missing / bucket.limit.requestsPerSecond * 1'000;
-        result.push_back(
+        m_constrained.push_back(
             {account, milliseconds(std::llround(std::min(untilRoomMs, maxTimeUntilRoomMs)))});
     }
-    return result;
 }
 
 credit_reply account_quota_pool::handle(const credit_request &request, std::size_t entryCount,
@@ -168,7 +187,9 @@
     reply.lifetime = creditLifetime;
     reply.interval = std::clamp(intervalPerEntry * static_cast<milliseconds::rep>(entryCount),
                                 shortestInterval, longestInterval);
-    if (isNew(request)) {
+    const bool isNewRequest = isNew(request, now);
+    updateHeardShare(entryCount, now);
+    if (isNewRequest) {
         for (const credit_usage &usage : request.accounts) {
             const auto found = m_buckets.find(usage.account);
             if (found == m_buckets.end())
@@ -181,7 +202,8 @@
                 reply.grants.push_back({usage.account, credits});
         }
     }
-    reply.constrained = constrainedAccounts(now);
+    updateConstrained(now);
+    reply.constrained = m_constrained;
     return reply;
 }
 
--- a/src/accounts/quota_messages.cpp
+++ b/src/accounts/quota_messages.cpp
@@ -2,8 +2,6 @@
 
 #include "../consensus/peer_json.h"
 
-#include <limits>
-
 namespace kingcuptiller {
 
 namespace {
@@ -16,12 +14,20 @@
 using internal::stringField;
 using internal::unsignedField;
 
-std::uint32_t countField(const Json::Value &object, const char *name)
+// The name at the begin of a list with `size` elements.
+account_name accountIn(const Json::Value &list, Json::ArrayIndex size)
 {
-    const std::uint64_t count = unsignedField(object, name);
-    if (count > std::numeric_limits<std::uint32_t>::max())
-        reportMalformed(std::string("the field ") + name + " is too large");
-    return static_cast<std::uint32_t>(count);
+    if (!list.isArray() || list.size() != size || !list[0].isString())
+        reportMalformed("an account is not a list of the expected length");
+    return account_name(list[0].asString());
+}
+
+std::uint32_t countAt(const Json::Value &list, Json::ArrayIndex index)
+{
+    const Json::Value &value = list[index];
+    if (!value.isUInt())
+        reportMalformed("a number of an account is out of range");
+    return value.asUInt();
 }
 
 milliseconds timeField(const Json::Value &object, const char *name)
@@ -34,17 +40,16 @@
 
 } // namespace
 
+// Accounts are written as lists without names of fields, because a message may have hundreds.
 std::string encodeCreditRequest(const credit_request &request)
 {
     Json::Value accounts(Json::arrayValue);
     for (const credit_usage &each : request.accounts) {
-        Json::Value object;
-        object["name"] = each.account.text();
-        object["spent"] = each.spent;
-        object["returned"] = each.returned;
-        object["owed"] = each.owed;
-        object["requested"] = each.requested;
-        accounts.append(object);
+        Json::Value list(Json::arrayValue);
+        list.append(each.account.text());
+        for (const std::uint32_t count : {each.spent, each.returned, each.owed, each.requested})
+            list.append(count);
+        accounts.append(list);
     }
     Json::Value object;
     object["entry"] = request.entry.text();
@@ -62,9 +67,8 @@
     request.run = unsignedField(object, "run");
     request.sequence = unsignedField(object, "sequence");
     for (const Json::Value &each : arrayField(object, "accounts"))
-        request.accounts.push_back({account_name(stringField(each, "name")),
-                                    countField(each, "spent"), countField(each, "returned"),
-                                    countField(each, "owed"), countField(each, "requested")});
+        request.accounts.push_back({accountIn(each, 5), countAt(each, 1), countAt(each, 2),
+                                    countAt(each, 3), countAt(each, 4)});
     return request;
 }
 
@@ -72,17 +76,17 @@
 {
     Json::Value grants(Json::arrayValue);
     for (const credit_grant &each : reply.grants) {
-        Json::Value object;
-        object["name"] = each.account.text();
-        object["credits"] = each.credits;
-        grants.append(object);
+        Json::Value list(Json::arrayValue);
+        list.append(each.account.text());
+        list.append(each.credits);
+        grants.append(list);
     }
     Json::Value constrained(Json::arrayValue);
     for (const constrained_account &each : reply.constrained) {
-        Json::Value object;
-        object["name"] = each.account.text();
-        object["until_room_ms"] = Json::Int64(each.untilRoom.count());
-        constrained.append(object);
+        Json::Value list(Json::arrayValue);
+        list.append(each.account.text());
+        list.append(Json::Int64(each.untilRoom.count()));
+        constrained.append(list);
     }
     Json::Value object;
     object["sequence"] = Json::UInt64(reply.sequence);
@@ -101,11 +105,9 @@
     reply.lifetime = timeField(object, "lifetime_ms");
     reply.interval = timeField(object, "interval_ms");
     for (const Json::Value &each : arrayField(object, "grants"))
-        reply.grants.push_back(
-            {account_name(stringField(each, "name")), countField(each, "credits")});
+        reply.grants.push_back({accountIn(each, 2), countAt(each, 1)});
     for (const Json::Value &each : arrayField(object, "constrained"))
-        reply.constrained.push_back(
-            {account_name(stringField(each, "name")), timeField(each, "until_room_ms")});
+        reply.constrained.push_back({accountIn(each, 2), milliseconds(countAt(each, 1))});
     return reply;
 }
 
--- a/src/relay/request_body.cpp
+++ b/src/relay/request_body.cpp
@@ -1,5 +1,7 @@
 #include "kingcuptiller/relay/request_body.h"
 
+#include "kingcuptiller/relay/http_types.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
--- a/src/relay/request_outcomes.cpp
+++ b/src/relay/request_outcomes.cpp
@@ -138,7 +138,7 @@
     m_metrics.recordRequestEnd(progress.service, outcome, reason, elapsed);
     m_weightedSplit.recordEnd(progress.route, progress.service, outcome);
     // A refused request has not run.
-    if (progress.holdsCredit && outcome == "refused")
+    if (progress.holdsCredit && progress.identity.account && outcome == "refused")
         m_credits.giveBack(*progress.identity.account, m_options.now());
     log_line line(log_level::info, "relay", "request_ended");
     line.field("request", toStringView(progress.request[m_options.headers.requestId]))
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -86,6 +86,7 @@
         m_configurationVersion = configuration->version;
     }
     m_retryBudget.setEntryCount(view.entries.size());
+    m_credits.setEntryCount(view.entries.size());
     static const route_table noRoutes;
     m_upstreamChoice.update(view, m_routes ? *m_routes : noRoutes, m_options.now());
 }
@@ -428,10 +429,13 @@
     const std::shared_ptr<request_body> &streamed = progress.client.body();
     if (!streamed && hadLength)
         request->content_length(request->body().size());
-    else if (streamed && streamed->announcedBytes())
-        request->content_length(*streamed->announcedBytes());
-    else if (streamed)
-        request->chunked(true);
+    if (streamed) {
+        const std::optional<std::uint64_t> announcedBytes = streamed->announcedBytes();
+        if (announcedBytes)
+            request->content_length(*announcedBytes);
+        else
+            request->chunked(true);
+    }
     return request;
 }
 
