--- a/src/relay/upstream_connections.cpp
+++ b/src/relay/upstream_connections.cpp
@@ -319,6 +319,10 @@
             // response on this connection could not be assigned to its request.
             if (previousResponses > 0 || !written->isComplete)
                 result.response.keep_alive(false);
+            // The rest of a streamed body would only fill the link: its request may be sent to
+            // another upstream by now.
+            if (body && !written->isComplete)
+                socket.close(errorCode);
             break;
         }
     }
