--- a/tests/hostile_clients/hostile_clients_test.cpp
+++ b/tests/hostile_clients/hostile_clients_test.cpp
@@ -1,3 +1,4 @@
+#include "kingcuptiller/relay/http_types.h"
 #include "tests/hostile_clients/hostile_crowd.h"
 #include "tests/platform/platform_processes.h"
 #include "tests/platform/stand_in_callers.h"
--- a/tests/relay/malformed_responses_test.cpp
+++ b/tests/relay/malformed_responses_test.cpp
@@ -1,3 +1,4 @@
+#include "kingcuptiller/relay/request_relay.h"
 #include "tests/relay/relay_fixture.h"
 #include "tests/support/scripted_server.h"
 
--- a/tests/relay/streamed_uploads_test.cpp
+++ b/tests/relay/streamed_uploads_test.cpp
@@ -1,3 +1,4 @@
+#include "kingcuptiller/relay/request_relay.h"
 #include "tests/relay/relay_fixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
