--- a/tests/relay/malformed_responses_test.cpp
+++ b/tests/relay/malformed_responses_test.cpp
@@ -3,6 +3,7 @@
 #include "tests/support/scripted_server.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -141,7 +142,7 @@
                 const std::string status = statusCodeOf(
                     relay.sendAndReadAll(relay.makeRequest(route, milliseconds(1'000))));
                 if ((status != "502" && status != "504") || upstream.requests() != 1)
-                    faults += each.name + ", " + route + ": " + status + "\n";
+                    faults += fmt::format("{}, {}: {}\n", each.name, route, status);
             }
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), faults);
@@ -176,8 +177,8 @@
     void resetDuringAnUploadIsNoEndOfTheBody()
     {
         for (const std::string announcement : {"", "Connection: close\r\n"}) {
-            breaking_upstream upstream(okLine + marks + announcement + "\r\npart of the body",
-                                       true);
+            breaking_upstream upstream(
+                fmt::format("{}{}{}\r\npart of the body", okLine, marks, announcement), true);
             relay_fixture relay(upstream.port(), uploadBytes);
             const std::string response = relay.sendAndReadAll(
                 "POST /writes/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: 7\r\nX-Time: 4000\r\n"
