--- a/tests/hostile_clients/hostile_crowd.cpp
+++ b/tests/hostile_clients/hostile_crowd.cpp
@@ -18,8 +18,9 @@
 namespace {
 
 constexpr std::size_t pieceBytes = 65'536;
-constexpr std::chrono::seconds patience{2};
-constexpr std::chrono::milliseconds pause{2};
+// A server that takes nothing for so long has stopped reading.
+constexpr std::chrono::seconds stallLimit{2};
+constexpr std::chrono::milliseconds retryInterval{2};
 
 int connectTo(const tcp_endpoint &where)
 {
@@ -85,7 +86,7 @@
     auto lastProgress = std::chrono::steady_clock::now();
     const auto isFinished = [](const client &each) { return each.isFinished; };
     while (!std::all_of(crowd.begin(), crowd.end(), isFinished)
-           && std::chrono::steady_clock::now() - lastProgress < patience) {
+           && std::chrono::steady_clock::now() - lastProgress < stallLimit) {
         bool hasProgress = false;
         for (client &each : crowd) {
             if (!each.isFinished && sendSome(each, whole))
@@ -94,7 +95,7 @@
         if (hasProgress)
             lastProgress = std::chrono::steady_clock::now();
         else
-            std::this_thread::sleep_for(pause);
+            std::this_thread::sleep_for(retryInterval);
     }
     m_clients.insert(m_clients.end(), crowd.begin(), crowd.end());
 }
