--- a/review/stand-ins-2/kit.h
+++ b/review/stand-ins-2/kit.h
@@ -377,7 +377,8 @@
             start(each, true);
     }
 
-    // Restarts processes that end by themselves, after a short delay, with `bootstrap` false.
+    // Kills processes that use more than their memory, and restarts those that end by themselves,
+    // after a short delay, with `bootstrap` false.
     void watch()
     {
         m_watcher = std::thread([this] {
@@ -386,6 +387,14 @@
                     const std::lock_guard<std::mutex> lock(m_mutex);
                     int status = 0;
                     pid_t &pid = m_pids[each.name];
+                    // A process that uses more than its memory is killed.
+                    const std::size_t usedMb = pid > 0 ? memoryMb(pid, "VmRSS:") : 0;
+                    if (usedMb > static_cast<std::size_t>(each.memoryMb)) {
+                        note("process " + each.name + " uses " + std::to_string(usedMb) + " MB of "
+                             + std::to_string(each.memoryMb) + " and is killed");
+                        ::kill(pid, SIGKILL);
+                        pause(20);
+                    }
                     if (pid <= 0 || ::waitpid(pid, &status, WNOHANG) != pid)
                         continue;
                     ++m_ends[each.name];
@@ -396,7 +405,7 @@
                     pause(300);
                     startLocked(each, false);
                 }
-                pause(50);
+                pause(20);
             }
         });
     }
@@ -429,17 +438,7 @@
         return pid > 0;
     }
 
-    std::size_t peakMemoryMb(const std::string &name)
-    {
-        std::ifstream status("/proc/" + std::to_string(pid(name)) + "/status");
-        std::string word;
-        std::size_t kib = 0;
-        while (status >> word) {
-            if (word == "VmHWM:" && status >> kib)
-                return kib / 1'024;
-        }
-        return 0;
-    }
+    std::size_t peakMemoryMb(const std::string &name) { return memoryMb(pid(name), "VmHWM:"); }
 
     // The last lines that a process has written.
     std::string log(const std::string &name) const
@@ -467,6 +466,18 @@
     }
 
 private:
+    static std::size_t memoryMb(pid_t pid, const std::string &kind)
+    {
+        std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+        std::string word;
+        std::size_t kib = 0;
+        while (status >> word) {
+            if (word == kind && status >> kib)
+                return kib / 1'024;
+        }
+        return 0;
+    }
+
     bool isFree() const
     {
         for (const int last : {10, 11, 12, 13, 14, 100, 101, 102, 150, 151}) {
