--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -44,7 +44,7 @@
         // An ordinary client, on a connection of its own.
         const std::string id = newId();
         const std::string posting = "amount=" + std::to_string(100 + i);
-        note("client sends " + id + ": POST /postings/mine, " + posting);
+        note("client sends " + id);
         const message answer =
             call(system.entry(0),
                  requestHead("POST", "/postings/mine", id, timeLimitMs,
