--- a/review/stand-ins-2/kit.h
+++ b/review/stand-ins-2/kit.h
@@ -580,9 +580,10 @@
 
 inline std::string heartbeatBody(const address &where, const std::string &service,
                                  const std::string &zone, int slots, const std::string &state,
-                                 int sequence)
+                                 int sequence, int life = 0)
 {
-    return "{\"address\":\"" + where.text() + "\",\"born\":1733540000000,\"info\":{\"service\":\""
+    return "{\"address\":\"" + where.text()
+        + "\",\"born\":" + std::to_string(1'733'540'000'000 + life) + ",\"info\":{\"service\":\""
         + service + "\",\"version\":\"v1\",\"zone\":\"" + zone
         + "\",\"slots\":" + std::to_string(slots) + "},\"status\":{\"state\":\"" + state
         + "\",\"sequence\":" + std::to_string(sequence) + ",\"coldRemainingMs\":0}}";
@@ -614,6 +615,23 @@
         const std::lock_guard<std::mutex> lock(m_mutex);
         return m_runs;
     }
+    // Announces that it leaves.
+    void drain()
+    {
+        m_draining = true;
+        m_announceNow = true;
+    }
+    // Starts again under its id, as a new lifetime.
+    void restart()
+    {
+        m_sequence = 0;
+        m_acknowledged = 0;
+        m_life += 10'000;
+        m_draining = false;
+        m_announceNow = true;
+    }
+    // The heartbeats of the present lifetime that were acknowledged.
+    int acknowledged() const { return m_acknowledged; }
     // Whether a request has been passed on to this backend, complete or not.
     bool hasSeen(const std::string &id) const
     {
@@ -624,16 +642,20 @@
 private:
     void announce()
     {
-        int sequence = 0;
         for (int i = 0;; ++i) {
-            const message answer = call(
-                m_system.control(i % m_system.controls()),
-                jsonCall("PUT", "/v1/instances/" + m_id,
-                         heartbeatBody(m_where, m_service, m_zone, m_slots, "ready", ++sequence)),
-                1'000);
+            const int life = m_life;
+            const std::string state = m_draining ? "draining" : "ready";
+            const message answer = call(m_system.control(i % m_system.controls()),
+                                        jsonCall("PUT", "/v1/instances/" + m_id,
+                                                 heartbeatBody(m_where, m_service, m_zone, m_slots,
+                                                               state, ++m_sequence, life)),
+                                        1'000);
             if (answer.complete && answer.status() / 100 == 2) {
+                if (life == m_life)
+                    ++m_acknowledged;
                 --i;
-                pause(1'500);
+                for (int waited = 0; waited < 1'500 && !m_announceNow.exchange(false); waited += 20)
+                    pause(20);
             } else {
                 pause(100);
             }
@@ -729,6 +751,11 @@
     int m_slots;
     int m_listener;
     std::atomic<int> m_running{0};
+    std::atomic<int> m_life{0};
+    std::atomic<int> m_sequence{0};
+    std::atomic<int> m_acknowledged{0};
+    std::atomic<bool> m_draining{false};
+    std::atomic<bool> m_announceNow{false};
     mutable std::mutex m_mutex;
     std::vector<run> m_runs;
     std::map<std::string, bool> m_seen;
