--- a/review/stand-ins-2/kit.h
+++ b/review/stand-ins-2/kit.h
@@ -410,6 +410,25 @@
         });
     }
 
+    // Kills all control processes at the same moment and starts them again within a second. Call it
+    // before `watch`.
+    void killCore()
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        note("all control processes are killed");
+        for (const host &each : m_hosts) {
+            if (each.role == "control")
+                ::kill(m_pids[each.name], SIGKILL);
+        }
+        pause(500);
+        for (const host &each : m_hosts) {
+            if (each.role != "control")
+                continue;
+            ::waitpid(m_pids[each.name], nullptr, 0);
+            startLocked(each, false);
+        }
+    }
+
     std::map<std::string, int> ends()
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
