--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,6 +1,6 @@
 // An entry with a grace of 10 s takes a request 4.2 s after SIGTERM and breaks it off.
 
-#include "../stand-ins-2/kit.h"
+#include "../kit-2.h"
 
 using namespace review;
 
