An entry that leaves sends only what must end before it does

From 45% of the limit on connections were refused, though clients hold an address for 6 s.

Cause: a request was sent if its answer was expected in half of the time that was left. The expectation came from earlier requests; how long a request may take is bounded by its deadline alone. The same estimate began retries, a wait for credits went on regardless, and bodies were received for requests that were rejected then.

Now a request is sent, first or again, only if its deadline is before the last moment for a response, checked on arrival, while it waits for a credit, before each attempt and once its connection is there; else 503 at once with nothing passed on. Bodies are not awaited for requests that are rejected by their heads. The address stays open for three lifetimes, which the directory limits to what the shutdown limit allows; the queue of the listener is taken over before it closes; responses close their connections from SIGTERM on. The estimate (rejectByAssumption) is gone.

--- a/include/kingcuptiller/node/entry_node.h
+++ b/include/kingcuptiller/node/entry_node.h
@@ -3,10 +3,12 @@
 #include "kingcuptiller/fleet/traffic_configuration.h"
 #include "kingcuptiller/node/fleet_feed.h"
 #include "kingcuptiller/node/load_exchange_socket.h"
+#include "kingcuptiller/node/shutdown_plan.h"
 #include "kingcuptiller/relay/request_relay.h"
 #include "kingcuptiller/settings/node_settings.h"
 #include "kingcuptiller/telemetry/counters.h"
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -46,10 +48,18 @@
 
     // Whether clients may be sent here.
     [[nodiscard]] bool ready() const { return m_relay.ready() && !m_leaving; }
+    // The entries that the directory may name; without this one once it leaves.
     [[nodiscard]] const std::vector<fleet_entry> &entries() const { return m_view.entries; }
+    // How long clients may keep an answer of the directory: not longer than entries that leave
+    // can go on accepting connections.
+    [[nodiscard]] milliseconds addressLifetime() const;
 
-    // Ends the entry without cutting a request: it is taken off the directory, then takes no new
-    // connections, and `done` is called when nothing is left to answer or the time is over.
+    // Changes how long the process may take to end. Has no effect once the entry leaves.
+    void setShutdownLimit(milliseconds limit);
+    // Ends the entry. It is taken off the directory, but goes on accepting connections while
+    // clients may hold its address. It sends only those requests to upstreams whose deadlines are
+    // before the end of the process, and rejects the others at once with 503. `done` is called when
+    // nothing is left to answer or the time is over.
     void leave(std::function<void()> done);
 
 private:
@@ -59,7 +69,10 @@
     void scheduleTick();
     // Asks for credits after `delay`, unless that is to happen earlier anyway.
     void scheduleCreditRequest(milliseconds delay);
-    void finishLeaving(std::function<void()> done, instant until);
+    void removeOwnEntry();
+    // Waits until the address of this entry has expired and all requests are answered, then calls
+    // `done`.
+    boost::asio::awaitable<void> finishRequests(shutdown_plan plan, std::function<void()> done);
 
     boost::asio::io_context &m_context;
     node_settings m_settings;
@@ -73,7 +86,6 @@
     std::unique_ptr<traffic_server> m_server;
     load_exchange_socket m_loadExchange;
     boost::asio::steady_timer m_tick;
-    boost::asio::steady_timer m_leavingTimer;
     boost::asio::steady_timer m_creditTimer;
     // Until the next check; 0 while none is scheduled.
     milliseconds m_creditDelay{0};
--- a/include/kingcuptiller/relay/request_relay.h
+++ b/include/kingcuptiller/relay/request_relay.h
@@ -101,10 +101,16 @@
     [[nodiscard]] client_limits limits() const;
     // Returns whether a configuration is known, so that requests can be forwarded.
     [[nodiscard]] bool ready() const { return m_routes != nullptr; }
-    // Announces that the process exits at `end`. From now on a request is sent to an upstream only
-    // when its response is expected within half of the time until `end`. Attempts still in progress
-    // at `end` are aborted, so that their clients get a response.
+    // Announces that the process exits soon after `end`. From now on a request is sent to an
+    // upstream only if its deadline is not later than `end`, since how long it will take is not
+    // known. Other requests are rejected, also those that wait to be sent. Attempts still in
+    // progress at `end`, which began before this call, are aborted, so that their clients get a
+    // response.
     void setProcessEnd(instant end);
+    // Returns the rejection of a request that is not handled in time before the process exits, even
+    // if it were handled now; nothing for other requests. For requests whose bodies are still to be
+    // received.
+    [[nodiscard]] std::optional<relay_response> rejectBeforeExit(const request_head &head);
     // The messages by which this entry gets credits for the rate limits of accounts. Returns
     // nothing if none is due, in particular if no account has a limit.
     [[nodiscard]] std::optional<credit_request> takeCreditRequest();
@@ -141,16 +147,24 @@
     // if the request is rejected.
     [[nodiscard]] boost::asio::awaitable<std::optional<relay_response>>
     acquireCredit(request_progress &progress);
-    // Waits until credits arrive or `until`.
+    // Waits until credits arrive, the process is told to exit, or `until`.
     [[nodiscard]] boost::asio::awaitable<void> waitForCredits(instant until);
+    void wakeCreditWaiters();
     [[nodiscard]] relay_response rejectOverLimit(request_progress &progress,
                                                  milliseconds retryAfter);
     // Removes the key from a request for an upstream, and sets the name of the account.
     void setAccountHeaders(const request_identity &identity, relay_request &request) const;
-    // Returns the time in which the response to an attempt that starts at `now` must be expected,
-    // given the deadline of the request and the exit of the process.
-    [[nodiscard]] milliseconds maximumExpectedDuration(const request_progress &progress,
-                                                       instant now) const;
+    // Returns the route of a request in the current configuration; nullptr if there is none.
+    [[nodiscard]] const traffic_route *findRoute(const request_head &head) const;
+    // Returns the deadline of a request that arrives at `now`.
+    [[nodiscard]] instant deadlineOf(const request_head &head, const traffic_route &route,
+                                     instant now) const;
+    // Whether the process exits before `deadline`.
+    [[nodiscard]] bool exitsBefore(instant deadline) const;
+    // Ends a request that is not sent because the process exits before its deadline.
+    [[nodiscard]] relay_response rejectBeforeExit(request_progress &progress);
+    // Whether the time has come at which attempts that are in progress are aborted.
+    [[nodiscard]] bool hasProcessEnded() const;
     [[nodiscard]] boost::asio::awaitable<std::optional<relay_response>>
     runAttempt(request_progress &progress, const chosen_upstream &upstream);
     [[nodiscard]] boost::asio::awaitable<upstream_attempt_result>
@@ -161,6 +175,9 @@
     [[nodiscard]] upstream_attempt_outcome
     classifyAttempt(const upstream_attempt_result &result) const;
     [[nodiscard]] relay_response makeClientResponse(relay_response response) const;
+    // Returns a 503 response, with Retry-After when `retryAfter` is positive.
+    [[nodiscard]] relay_response makeRefusal(std::string_view reason,
+                                             milliseconds retryAfter) const;
     // Records the end of a request that has not run and returns a 503 response, with Retry-After
     // when `retryAfter` is positive.
     [[nodiscard]] relay_response refuseRequest(request_progress &progress, std::string_view reason,
--- a/include/kingcuptiller/relay/traffic_server.h
+++ b/include/kingcuptiller/relay/traffic_server.h
@@ -4,6 +4,7 @@
 #include "kingcuptiller/relay/byte_budget.h"
 #include "kingcuptiller/relay/http_types.h"
 #include "kingcuptiller/relay/request_body.h"
+#include "kingcuptiller/values/time.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ssl/context.hpp>
@@ -14,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -74,6 +76,10 @@
 // `client_disconnect_signal::body`. Bodies that are short are always received before.
 using body_streaming_rule = std::function<bool(const request_head &head)>;
 
+// Returns the response to a request that is rejected by its head, before its body is received;
+// nothing for other requests.
+using head_check = std::function<std::optional<relay_response>(const request_head &head)>;
+
 // What one server may hold for all its clients together.
 struct server_capacity
 {
@@ -110,11 +116,19 @@
     traffic_server(const traffic_server &) = delete;
     traffic_server &operator=(const traffic_server &) = delete;
 
+    // Prepares for the end of the process: from now on each response closes its connection, and
+    // `rejects` decides on each request whose body is being received or still to be received.
+    void startLeaving(head_check rejects);
+    // Rejects the requests whose bodies are being received and that `rejects` of `startLeaving` now
+    // rejects. Call it regularly.
+    void rejectUnfinishedRequests();
     // Closes idle connections. Connections with a request in progress are closed after its
     // response.
     void startDraining();
-    // Closes the listening socket.
+    // Closes the listening socket, after it has taken over the connections that are established.
     void stopAccepting();
+    // Waits until no request is in progress, but not longer than `limit`.
+    [[nodiscard]] boost::asio::awaitable<void> waitUntilAnswered(milliseconds limit);
     // Returns the number of requests that are being read, handled or responded to.
     [[nodiscard]] std::size_t requestsInProgress() const;
     // Returns the address on which the server listens, with the actual port.
@@ -125,6 +139,8 @@
     using request_parser = boost::beast::http::request_parser<internal::received_body>;
 
     boost::asio::awaitable<void> acceptConnections();
+    // Serves a connection that has been accepted, if there is room for it.
+    void startSession(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> serveConnection(std::shared_ptr<session> client);
     // Reads, handles and responds to one request. Returns whether the connection stays open.
     boost::asio::awaitable<bool> serveNextRequest(session &client);
@@ -163,6 +179,9 @@
     // Reads and discards a body that is within the limits, for a short time: a connection that is
     // closed with unread bytes is reset, and the client may lose the response.
     boost::asio::awaitable<void> discardInput(session &client);
+    // Sends the rejection of a request whose body has not been received completely, and closes the
+    // connection. Always returns false.
+    boost::asio::awaitable<bool> sendRejection(session &client, relay_response response);
     // Sends a response with `status` that closes the connection. Always returns false.
     boost::asio::awaitable<bool> sendErrorResponse(session &client,
                                                    boost::beast::http::status status);
@@ -181,6 +200,9 @@
     byte_budget m_largeBodies;
     byte_budget m_smallBodies;
     body_streaming_rule m_streamsBody;
+    // Set while the process is about to end.
+    head_check m_rejects;
+    bool m_leaving = false;
     bool m_draining = false;
 };
 
--- a/include/kingcuptiller/relay/upstream_choice.h
+++ b/include/kingcuptiller/relay/upstream_choice.h
@@ -102,9 +102,6 @@
     std::optional<region_name> previousRegion = std::nullopt;
     // The key of the request's route. Service times are estimated for each route.
     std::string route{};
-    // Whether a time that is only assumed may reject the request. Set where the request would be
-    // aborted if it took longer, and another entry can serve it.
-    bool rejectByAssumption = false;
 };
 
 // The upstream that was chosen for a request, with the estimates behind the choice.
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -5,8 +5,11 @@
 #include "kingcuptiller/transport/system_clock.h"
 #include "kingcuptiller/values/error.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <xxhash.h>
 
@@ -24,12 +27,7 @@
 namespace {
 
 constexpr milliseconds tickInterval{1'000};
-// Clients go on using an address for some time after the directory stopped naming it; this part of
-// the shutdown limit is left for requests that were taken last.
-constexpr double acceptingShare = 0.45;
-// The process must be gone before it is killed, and answers must be on their way before that.
-constexpr milliseconds shutdownReserve{300};
-constexpr milliseconds lastAnswersTime{150};
+// How often an entry that leaves checks what is left to do.
 constexpr milliseconds leavingCheck{50};
 // Response bodies take at most this part of the memory of the process, and so do request bodies.
 constexpr std::uint64_t heldBodiesDivisor = 4;
@@ -187,7 +185,6 @@
                       }},
                      counters)
     , m_tick(context)
-    , m_leavingTimer(context)
     , m_creditTimer(context)
 {
     if (!m_settings.traffic)
@@ -225,6 +222,9 @@
     const bool wasReady = m_relay.ready();
     m_view = view;
     m_view.document.clear();
+    // Control may not know yet that this entry leaves.
+    if (m_leaving)
+        removeOwnEntry();
     m_relay.update(view, configuration);
     m_loadExchange.setPeers(zonePeers());
     m_viewCommands.set(view.appliedCommands);
@@ -281,37 +281,68 @@
     });
 }
 
+void entry_node::setShutdownLimit(milliseconds limit)
+{
+    m_settings.shutdownLimit = limit;
+}
+
+milliseconds entry_node::addressLifetime() const
+{
+    return limitAddressLifetime(m_settings.directoryLifetime, m_settings.shutdownLimit);
+}
+
+void entry_node::removeOwnEntry()
+{
+    std::erase_if(m_view.entries, [this](const fleet_entry &entry) {
+        return entry.address == *m_settings.traffic;
+    });
+}
+
 void entry_node::leave(std::function<void()> done)
 {
     if (std::exchange(m_leaving, true))
         return;
-    log_line(log_level::info, "entry", "leaves").field("name", m_settings.name);
+    const instant now = readInstant();
+    shutdown_plan plan = planShutdown(now, m_settings.shutdownLimit, addressLifetime());
+    // No directory has named an entry that has not served yet.
+    if (!m_relay.ready())
+        plan.addressExpiry = now;
+    const auto fromNow = [now](instant time) {
+        return std::chrono::duration_cast<milliseconds>(time - now).count();
+    };
+    log_line(log_level::info, "entry", "leaves")
+        .field("name", m_settings.name)
+        .field("in_progress", static_cast<std::uint64_t>(m_server->requestsInProgress()))
+        .field("address_expires_ms", fromNow(plan.addressExpiry))
+        .field("last_response_ms", fromNow(plan.lastResponse))
+        .field("process_end_ms", fromNow(plan.processEnd));
     m_feed->setState(entry_state::absent);
-    const instant until = readInstant() + m_settings.shutdownLimit - shutdownReserve;
-    m_relay.setProcessEnd(until - lastAnswersTime);
-    const auto accepting = milliseconds(static_cast<std::int64_t>(
-        static_cast<double>(m_settings.shutdownLimit.count()) * acceptingShare));
-    m_leavingTimer.expires_after(accepting);
-    m_leavingTimer.async_wait([this, until, done = std::move(done)](error_code problem) mutable {
-        if (problem)
-            return;
-        m_server->stopAccepting();
-        m_server->startDraining();
-        finishLeaving(std::move(done), until);
-    });
+    removeOwnEntry();
+    m_relay.setProcessEnd(plan.lastResponse);
+    m_server->startLeaving(
+        [this](const request_head &head) { return m_relay.rejectBeforeExit(head); });
+    asio::co_spawn(m_context, finishRequests(plan, std::move(done)), asio::detached);
 }
 
-void entry_node::finishLeaving(std::function<void()> done, instant until)
+asio::awaitable<void> entry_node::finishRequests(shutdown_plan plan, std::function<void()> done)
 {
-    if (m_server->requestsInProgress() == 0 || readInstant() >= until) {
-        done();
-        return;
+    asio::steady_timer pause(m_context);
+    bool isDraining = false;
+    for (instant now = readInstant(); now < plan.processEnd; now = readInstant()) {
+        m_server->rejectUnfinishedRequests();
+        if (now >= plan.addressExpiry && !std::exchange(isDraining, true)) {
+            m_server->stopAccepting();
+            m_server->startDraining();
+        }
+        if (isDraining && m_server->requestsInProgress() == 0)
+            break;
+        pause.expires_after(leavingCheck);
+        co_await pause.async_wait(asio::use_awaitable);
     }
-    m_leavingTimer.expires_after(leavingCheck);
-    m_leavingTimer.async_wait([this, until, done = std::move(done)](error_code problem) mutable {
-        if (!problem)
-            finishLeaving(std::move(done), until);
-    });
+    log_line(log_level::info, "entry", "left")
+        .field("name", m_settings.name)
+        .field("in_progress", static_cast<std::uint64_t>(m_server->requestsInProgress()));
+    done();
 }
 
 } // namespace kingcuptiller
--- a/src/relay/request_outcomes.cpp
+++ b/src/relay/request_outcomes.cpp
@@ -111,6 +111,11 @@
                                             milliseconds retryAfter)
 {
     recordRequestEnd(progress, "refused", reason);
+    return makeRefusal(reason, retryAfter);
+}
+
+relay_response request_relay::makeRefusal(std::string_view reason, milliseconds retryAfter) const
+{
     relay_response response =
         makeTextResponse(http::status::service_unavailable, fmt::format("not run: {}\n", reason));
     if (retryAfter > milliseconds(0))
--- a/src/relay/request_quota.cpp
+++ b/src/relay/request_quota.cpp
@@ -37,6 +37,11 @@
 void request_relay::applyCreditReply(const credit_reply &reply)
 {
     m_credits.applyReply(reply, m_options.now());
+    wakeCreditWaiters();
+}
+
+void request_relay::wakeCreditWaiters()
+{
     for (asio::steady_timer *const timer : m_creditWaiters)
         timer->cancel();
 }
@@ -62,12 +67,14 @@
     const instant until = std::min(progress.arrivedAt + maxWait, progress.deadline);
     credit_answer answer = m_credits.take(account, m_options.now());
     while (answer.decision == credit_decision::wait && m_options.now() < until
-           && !progress.client.hasDisconnected()) {
+           && !progress.client.hasDisconnected() && !exitsBefore(progress.deadline)) {
         if (m_options.onCreditShortage)
             m_options.onCreditShortage();
         co_await waitForCredits(until);
         answer = m_credits.take(account, m_options.now(), true);
     }
+    if (answer.decision == credit_decision::wait && exitsBefore(progress.deadline))
+        co_return rejectBeforeExit(progress);
     switch (answer.decision) {
     case credit_decision::granted:
         progress.holdsCredit = true;
--- a/src/relay/request_relay.cpp
+++ b/src/relay/request_relay.cpp
@@ -31,12 +31,6 @@
 // then another upstream is the better choice.
 constexpr int connectRoundTrips = 4;
 constexpr milliseconds connectReserve{200};
-// Before a planned exit of the process, an attempt is started only when the estimated time until
-// its response is at most this share of the remaining time, because attempts that still run at the
-// exit are aborted.
-constexpr double expectedTimeShareBeforeExit = 0.5;
-// Retry-After of a refusal that is due to the planned exit of the process.
-constexpr milliseconds retryAfterDuringShutdown{50};
 
 using internal::eraseConnectionHeaders;
 using internal::parseInteger;
@@ -129,19 +123,6 @@
     m_upstreamChoice.applySharedReports(reports, m_options.now());
 }
 
-void request_relay::setProcessEnd(instant end)
-{
-    m_processEnd = end;
-    m_processEndTimer.expires_after(end - m_options.now());
-    m_processEndTimer.async_wait([this](error_code errorCode) {
-        if (errorCode)
-            return;
-        error_code ignored;
-        for (const auto &connection : m_connectionsAwaitingResponse)
-            connection->socket.close(ignored);
-    });
-}
-
 asio::awaitable<relay_response> request_relay::handle(const relay_request &request,
                                                       client_disconnect_signal &client)
 {
@@ -154,9 +135,7 @@
         response.set(m_options.headers.retryAfter, "0.5");
         co_return response;
     }
-    const auto target = toStringView(request.target());
-    const traffic_route *const route =
-        routes->find(toStringView(request[http::field::host]), target.substr(0, target.find('?')));
+    const traffic_route *const route = findRoute(request);
     if (route == nullptr) {
         m_requestsWithoutRoute.add();
         co_return makeTextResponse(http::status::not_found, "no route matches\n");
@@ -176,42 +155,46 @@
         identity.account = *authentication.account;
     auto regions = commonRegions(
         route->regions, identity.account ? identity.account->regions : std::set<region_name>());
-    const auto clientTimeMs = parseInteger(toStringView(request[m_options.headers.remainingTime]));
-    const milliseconds clientLimit = clientTimeMs && *clientTimeMs > 0 ? milliseconds(*clientTimeMs)
-                                                                       : m_options.defaultTimeLimit;
-    request_progress progress{
-        request,
-        client,
-        *route,
-        route->key(),
-        m_weightedSplit.assign(*route),
-        route->affinity ? std::string(toStringView(request[m_options.headers.object]))
-                        : std::string(),
-        std::move(identity),
-        std::move(regions),
-        now,
-        now + std::min(clientLimit, route->timeout) - m_options.responseReturnReserve,
-        {},
-        std::nullopt,
-        false,
-        std::nullopt,
-        std::nullopt,
-        false,
-        0,
-        0};
+    request_progress progress{request,
+                              client,
+                              *route,
+                              route->key(),
+                              m_weightedSplit.assign(*route),
+                              route->affinity
+                                  ? std::string(toStringView(request[m_options.headers.object]))
+                                  : std::string(),
+                              std::move(identity),
+                              std::move(regions),
+                              now,
+                              deadlineOf(request, *route, now),
+                              {},
+                              std::nullopt,
+                              false,
+                              std::nullopt,
+                              std::nullopt,
+                              false,
+                              0,
+                              0};
+    if (exitsBefore(progress.deadline))
+        co_return rejectBeforeExit(progress);
     if (auto rejection = co_await acquireCredit(progress))
         co_return std::move(*rejection);
     m_retryBudget.recordRequest(progress.service, now);
     co_return co_await runAttempts(progress);
 }
 
-bool request_relay::streamsBody(const request_head &head) const
+const traffic_route *request_relay::findRoute(const request_head &head) const
 {
     if (!m_routes)
-        return false;
+        return nullptr;
     const auto target = toStringView(head.target());
-    const traffic_route *const route =
-        m_routes->find(toStringView(head[http::field::host]), target.substr(0, target.find('?')));
+    return m_routes->find(toStringView(head[http::field::host]),
+                          target.substr(0, target.find('?')));
+}
+
+bool request_relay::streamsBody(const request_head &head) const
+{
+    const traffic_route *const route = findRoute(head);
     return route != nullptr && route->streamsBodies;
 }
 
@@ -235,15 +218,13 @@
     return true;
 }
 
-milliseconds request_relay::maximumExpectedDuration(const request_progress &progress,
-                                                    instant now) const
+instant request_relay::deadlineOf(const request_head &head, const traffic_route &route,
+                                  instant now) const
 {
-    const auto remaining = std::chrono::duration_cast<milliseconds>(progress.deadline - now);
-    if (!m_processEnd)
-        return remaining;
-    return std::min(remaining,
-                    std::chrono::duration_cast<milliseconds>((*m_processEnd - now)
-                                                             * expectedTimeShareBeforeExit));
+    const auto clientTimeMs = parseInteger(toStringView(head[m_options.headers.remainingTime]));
+    const milliseconds clientLimit = clientTimeMs && *clientTimeMs > 0 ? milliseconds(*clientTimeMs)
+                                                                       : m_options.defaultTimeLimit;
+    return now + std::min(clientLimit, route.timeout) - m_options.responseReturnReserve;
 }
 
 asio::awaitable<relay_response> request_relay::runAttempts(request_progress &progress)
@@ -251,7 +232,6 @@
     for (;;) {
         const instant now = m_options.now();
         const auto remaining = std::chrono::duration_cast<milliseconds>(progress.deadline - now);
-        const milliseconds maximumDuration = maximumExpectedDuration(progress, now);
         if (progress.client.hasDisconnected())
             co_return endWithUnknownOutcome(progress, "client_left");
         if (!refreshIdentity(progress))
@@ -264,6 +244,8 @@
         if (remaining <= minimumAttemptTime)
             co_return progress.mayHaveRun ? endWithUnknownOutcome(progress, "time_over")
                                           : refuseRequest(progress, "time_over", milliseconds(0));
+        if (exitsBefore(progress.deadline))
+            co_return rejectBeforeExit(progress);
         if (progress.failedConnections >= maximumFailedConnections
             || (progress.sentAttempts > 0
                 && (progress.sentAttempts >= progress.route.maximumAttempts
@@ -274,15 +256,12 @@
         choice_failure reason;
         const auto upstream = m_upstreamChoice.choose(
             {progress.service, progress.object, *progress.regions, progress.route.latencyTarget,
-             maximumDuration, progress.triedUpstreams, progress.previousRegion, progress.routeKey,
-             m_processEnd.has_value()},
+             remaining, progress.triedUpstreams, progress.previousRegion, progress.routeKey},
             now, reason);
         if (!upstream && progress.mayHaveRun)
             co_return endWithUnknownOutcome(progress, "no_upstream");
         if (!upstream)
-            co_return maximumDuration < remaining
-                ? refuseRequest(progress, "process_ends", retryAfterDuringShutdown)
-                : refuseRequest(progress, reasonName(reason), reason.retryAfter);
+            co_return refuseRequest(progress, reasonName(reason), reason.retryAfter);
         progress.triedUpstreams.insert(upstream->incarnation.id);
         progress.previousRegion = upstream->region;
         if (auto response = co_await runAttempt(progress, *upstream))
@@ -339,7 +318,8 @@
         progress.mayHaveRun = true;
         if (progress.route.idempotent)
             co_return std::nullopt;
-        co_return endWithUnknownOutcome(progress, "connection_broken");
+        co_return endWithUnknownOutcome(progress,
+                                        hasProcessEnded() ? "process_ends" : "connection_broken");
     case upstream_attempt_outcome::timed_out:
         progress.mayHaveRun = true;
         co_return endWithUnknownOutcome(progress, "time_over");
@@ -383,7 +363,9 @@
     }
     const auto remaining =
         std::chrono::duration_cast<milliseconds>(progress.deadline - m_options.now());
-    if (progress.client.hasDisconnected() || remaining <= minimumAttemptTime)
+    // While the connection was established, the process may have been told to exit.
+    if (progress.client.hasDisconnected() || remaining <= minimumAttemptTime
+        || exitsBefore(progress.deadline))
         co_return notSent;
     // An upstream aborts a request when its connection closes. A request that is not idempotent
     // runs to its end, because its outcome would be unknown after an abort.
--- a/src/relay/traffic_server.cpp
+++ b/src/relay/traffic_server.cpp
@@ -52,6 +52,7 @@
 constexpr const char *retryAfterHeldBytes = "1";
 // Delay after a failed accept, which usually means that the process has no free file descriptors.
 constexpr milliseconds acceptRetryDelay{50};
+constexpr milliseconds answeredCheckInterval{5};
 
 auto redirectErrorTo(error_code &errorCode)
 {
@@ -89,6 +90,14 @@
         && errorCode != http::error::end_of_stream && errorCode != http::error::partial_message;
 }
 
+relay_response makeMemoryRejection()
+{
+    relay_response response = makeTextResponse(http::status::service_unavailable,
+                                               "not run: no memory for the request at present\n");
+    response.set(http::field::retry_after, retryAfterHeldBytes);
+    return response;
+}
+
 } // namespace
 
 void client_disconnect_signal::signalDisconnect()
@@ -118,6 +127,10 @@
     std::uint64_t waitingNumber = 0;
     // Set from the first byte of a request until its response is written.
     bool requestInProgress = false;
+    // The reader of a body that is received before its request is handled; nullptr for others.
+    const request_parser *bodyParser = nullptr;
+    // The response with which the reading of that body is given up.
+    std::optional<relay_response> rejection;
 };
 
 traffic_server::traffic_server(asio::io_context &context, const tcp_endpoint &address,
@@ -154,8 +167,43 @@
 
 void traffic_server::stopAccepting()
 {
-    error_code ignored;
-    m_acceptor.close(ignored);
+    error_code errorCode;
+    // Connections in the queue of the listening socket would be reset.
+    m_acceptor.non_blocking(true, errorCode);
+    for (std::size_t i = 0; i < m_capacity.connections && !errorCode; ++i) {
+        asio::ip::tcp::socket socket(m_context);
+        m_acceptor.accept(socket, errorCode);
+        if (!errorCode)
+            startSession(std::move(socket));
+    }
+    m_acceptor.close(errorCode);
+}
+
+void traffic_server::startLeaving(head_check rejects)
+{
+    m_leaving = true;
+    m_rejects = std::move(rejects);
+}
+
+void traffic_server::rejectUnfinishedRequests()
+{
+    for (const auto &client : m_sessions) {
+        if (client->bodyParser == nullptr || client->rejection)
+            continue;
+        client->rejection = m_rejects(client->bodyParser->get());
+        if (client->rejection)
+            client->stream.cancel();
+    }
+}
+
+asio::awaitable<void> traffic_server::waitUntilAnswered(milliseconds limit)
+{
+    asio::steady_timer pause(m_context);
+    const auto until = asio::steady_timer::clock_type::now() + limit;
+    while (requestsInProgress() > 0 && asio::steady_timer::clock_type::now() < until) {
+        pause.expires_after(answeredCheckInterval);
+        co_await pause.async_wait(asio::use_awaitable);
+    }
 }
 
 void traffic_server::startDraining()
@@ -183,15 +231,21 @@
             co_await pause.async_wait(redirectErrorTo(errorCode));
             continue;
         }
-        if (!makeRoom())
-            continue;
-        socket.set_option(asio::ip::tcp::no_delay(true), errorCode);
-        auto client = std::make_shared<session>(std::move(socket), m_tls);
-        m_sessions.insert(client);
-        asio::co_spawn(m_context, serveConnection(client), asio::detached);
+        startSession(std::move(socket));
     }
 }
 
+void traffic_server::startSession(asio::ip::tcp::socket socket)
+{
+    if (!makeRoom())
+        return;
+    error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    auto client = std::make_shared<session>(std::move(socket), m_tls);
+    m_sessions.insert(client);
+    asio::co_spawn(m_context, serveConnection(client), asio::detached);
+}
+
 bool traffic_server::makeRoom()
 {
     if (m_sessions.size() < m_capacity.connections)
@@ -239,6 +293,7 @@
         client->bodyIsLarge = false;
         client->streamedParser.reset();
         client->heldHead = m_heads.open();
+        client->rejection.reset();
         startWaiting(*client);
         try {
             keepsConnection = co_await serveNextRequest(*client);
@@ -255,18 +310,22 @@
 
 asio::awaitable<bool> traffic_server::sendErrorResponse(session &client, http::status status)
 {
-    const bool isUnavailable = status == http::status::service_unavailable;
     relay_response response =
-        makeTextResponse(status,
-                         isUnavailable ? "not run: no memory for the request at present\n"
-                                       : "the request breaks a limit or is malformed\n");
+        makeTextResponse(status, "the request breaks a limit or is malformed\n");
     response.keep_alive(false);
-    if (isUnavailable)
-        response.set(http::field::retry_after, retryAfterHeldBytes);
     error_code errorCode;
     client.stream.expiresAfter(writeTimeout);
     co_await http::async_write(client.stream, response, redirectErrorTo(errorCode));
-    if (!errorCode && isUnavailable)
+    co_return false;
+}
+
+asio::awaitable<bool> traffic_server::sendRejection(session &client, relay_response response)
+{
+    response.keep_alive(false);
+    error_code errorCode;
+    client.stream.expiresAfter(writeTimeout);
+    co_await http::async_write(client.stream, response, redirectErrorTo(errorCode));
+    if (!errorCode)
         co_await discardInput(client);
     co_return false;
 }
@@ -359,14 +418,18 @@
         co_return false;
     co_await acceptBody(client, parser, errorCode);
     client.stream.expiresAfter(m_limits().idleTimeout);
-    while (!errorCode && !parser.is_done()) {
+    client.bodyParser = &parser;
+    while (!errorCode && !client.rejection && !parser.is_done()) {
         co_await http::async_read_some(client.stream, client.buffer, parser,
                                        redirectErrorTo(errorCode));
         // Counted as it arrives: a client that announces a large body and sends it slowly, or not
         // at all, must not keep out the bodies of others.
-        if (!holdBody(client, parser.get().body().size()))
+        if (!holdBody(client, parser.get().body().size())) {
+            client.bodyParser = nullptr;
             co_return false;
+        }
     }
+    client.bodyParser = nullptr;
     co_return true;
 }
 
@@ -395,16 +458,29 @@
                                      redirectErrorTo(errorCode));
     if (!errorCode && parser.chunked() && parser.get().has_content_length())
         errorCode = http::error::bad_transfer_encoding;
-    if (!errorCode && !holdHead(client, parser))
-        co_return co_await sendErrorResponse(client, http::status::service_unavailable);
+    if (!errorCode && !holdHead(client, parser)) {
+        relay_response rejection = makeMemoryRejection();
+        co_return co_await sendRejection(client, std::move(rejection));
+    }
+    // The handler decides on a request without a body.
+    if (!errorCode && m_rejects && !parser.is_done()) {
+        if (auto rejection = m_rejects(parser.get()))
+            co_return co_await sendRejection(client, std::move(*rejection));
+    }
     if (!errorCode && isStreamed(parser)) {
         co_await acceptBody(client, parser, errorCode);
         client.request.base() = parser.get().base();
         client.streamedParser = ownedParser;
         co_return !errorCode;
     }
-    if (!errorCode && !co_await readBody(client, parser, errorCode))
-        co_return co_await sendErrorResponse(client, http::status::service_unavailable);
+    if (!errorCode && !co_await readBody(client, parser, errorCode)) {
+        relay_response rejection = makeMemoryRejection();
+        co_return co_await sendRejection(client, std::move(rejection));
+    }
+    if (client.rejection) {
+        relay_response rejection = std::move(*client.rejection);
+        co_return co_await sendRejection(client, std::move(rejection));
+    }
     if (errorCode) {
         if (errorCode == beast::error::timeout)
             co_return co_await sendErrorResponse(client, http::status::request_timeout);
@@ -476,7 +552,7 @@
     if (signal->hasDisconnected())
         co_return false;
     const bool isHeadRequest = client->request.method() == http::verb::head;
-    response.keep_alive(keepAlive && !m_draining && !isBodyUnread);
+    response.keep_alive(keepAlive && !m_leaving && !m_draining && !isBodyUnread);
     client->stream.expiresAfter(writeTimeout);
     if (isHeadRequest) {
         http::response_serializer<http::string_body> serializer(response);
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -324,8 +324,7 @@
 bool upstream_choice::isInTime(const choice_option &option, const upstream_choice_request &request)
 {
     // An assumption would reject all requests, and then no measurement could ever correct it.
-    return (!option.isMeasured && !request.rejectByAssumption)
-        || option.expectedMs <= maxResponseMs(request);
+    return !option.isMeasured || option.expectedMs <= maxResponseMs(request);
 }
 
 std::map<region_name, upstream_choice::choice_option>
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -28,7 +28,6 @@
 constexpr milliseconds idleTimeout{120'000};
 // How long a server that ends waits for the answers of its handlers.
 constexpr milliseconds endingLimit{1'000};
-constexpr milliseconds endingCheck{5};
 
 http_request toRequest(const relay_request &message)
 {
@@ -165,12 +164,7 @@
 
     asio::awaitable<void> stopWhenAnswered()
     {
-        asio::steady_timer pause(*m_context);
-        const auto until = asio::steady_timer::clock_type::now() + endingLimit;
-        while (m_server.requestsInProgress() > 0 && asio::steady_timer::clock_type::now() < until) {
-            pause.expires_after(endingCheck);
-            co_await pause.async_wait(asio::use_awaitable);
-        }
+        co_await m_server.waitUntilAnswered(endingLimit);
         m_context->stop();
     }
 
--- a/tests/node/entry_node_test.cpp
+++ b/tests/node/entry_node_test.cpp
@@ -12,6 +12,7 @@
 #include <atomic>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -28,17 +29,29 @@
 struct stop_case
 {
     std::string name;
-    // When the last bytes of the request are sent, from the stop's beginning.
-    milliseconds lastBytesAfter{0};
+    // When the last bytes of the request are sent, from the stop's beginning; nothing if the
+    // upstream works on the request when the stop begins.
+    std::optional<milliseconds> lastBytesAfter;
+    // The time limit that the client states.
+    milliseconds limit{0};
     milliseconds upstreamTakes{0};
     std::string expectedStatus;
     int expectedSendings = 0;
 };
 
 const std::vector<stop_case> stopCases = {
-    {"begun before, ends in time", milliseconds(0), milliseconds(700), "200", 1},
-    {"begun before, does not end", milliseconds(0), milliseconds(2'500), "502", 1},
-    {"whole only late in the grace", milliseconds(1'400), milliseconds(1'000), "503", 0},
+    {"sent before, ends in time", {}, milliseconds(6'000), milliseconds(700), "200", 1},
+    {"sent before, does not end", {}, milliseconds(6'000), milliseconds(2'500), "502", 1},
+    {"whole afterwards, ends in time by its limit", milliseconds(0), milliseconds(1'200),
+     milliseconds(700), "200", 1},
+    {"whole afterwards, exceeds its limit", milliseconds(0), milliseconds(1'000),
+     milliseconds(1'300), "504", 1},
+    {"whole afterwards, may last longer than the process", milliseconds(0), milliseconds(6'000),
+     milliseconds(700), "503", 0},
+    {"whole only late in the grace", milliseconds(1'400), milliseconds(6'000), milliseconds(1'000),
+     "503", 0},
+    {"whole only late in the grace, short limit", milliseconds(1'400), milliseconds(1'000),
+     milliseconds(10), "503", 0},
 };
 
 // An entry with a control host and an upstream, on loopback, in a thread of its own.
@@ -84,6 +97,13 @@
         return socket;
     }
 
+    void waitUntilSent()
+    {
+        for (int i = 0; i < mostPolls && upstream.requests() == 0; ++i)
+            std::this_thread::sleep_for(pollInterval);
+        CPPUNIT_ASSERT_EQUAL(1, upstream.requests());
+    }
+
     // The process ends, and with it all its connections, when the entry has left.
     void stop()
     {
@@ -172,21 +192,27 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    // Guards against requests that are taken late in the grace of a planned stop and cut at its end
-    // without an answer.
+    // Guards against requests that are taken during a planned stop and cut at its end, or are
+    // rejected though they were sent to an upstream.
     void requestsAroundAPlannedStopAreAllAnswered()
     {
         for (const stop_case &each : stopCases) {
             entry_world world(each.upstreamTakes);
             asio::ip::tcp::socket client = world.connect();
-            const std::string head =
-                "POST /1 HTTP/1.1\r\nHost: a.example\r\nX-Id: 7\r\nX-Time: 6000\r\n"
-                "Content-Length: 2\r\n\r\nh";
+            const std::string head = "POST /1 HTTP/1.1\r\nHost: a.example\r\nX-Id: 7\r\nX-Time: "
+                + std::to_string(each.limit.count()) + "\r\nContent-Length: 2\r\n\r\nh";
+            const std::string lastByte = "i";
             asio::write(client, asio::buffer(head));
-            world.stop();
-            std::this_thread::sleep_for(each.lastBytesAfter);
             boost::system::error_code ignored;
-            asio::write(client, asio::buffer(std::string("i")), ignored);
+            if (!each.lastBytesAfter) {
+                asio::write(client, asio::buffer(lastByte));
+                world.waitUntilSent();
+            }
+            world.stop();
+            if (each.lastBytesAfter) {
+                std::this_thread::sleep_for(*each.lastBytesAfter);
+                asio::write(client, asio::buffer(lastByte), ignored);
+            }
             std::string answer;
             asio::read(client, asio::dynamic_buffer(answer), ignored);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(each.name, each.expectedStatus, statusCodeOf(answer));
--- a/tests/platform/platform_processes.cpp
+++ b/tests/platform/platform_processes.cpp
@@ -17,7 +17,9 @@
 #include <fstream>
 #include <iterator>
 #include <random>
+#include <sstream>
 #include <stdexcept>
+#include <thread>
 #include <utility>
 
 namespace kingcuptiller {
@@ -34,6 +36,7 @@
 constexpr std::size_t regionCount = 3;
 // The more hosts of one kind there are, the more addresses must be free.
 constexpr std::size_t hostsOfAKind = 12;
+constexpr std::chrono::milliseconds exitPollInterval{5};
 
 // The program under test: the one built beside this test, unless the environment names another.
 std::string programPath()
@@ -113,6 +116,37 @@
     m_pid = 0;
 }
 
+void platform_process::editSettings(const std::string &from, const std::string &to) const
+{
+    std::ostringstream text;
+    text << std::ifstream(m_settingsPath).rdbuf();
+    std::string settings = text.str();
+    settings.replace(settings.find(from), from.size(), to);
+    std::ofstream(m_settingsPath) << settings;
+}
+
+void platform_process::signal(int number) const
+{
+    if (m_pid > 0)
+        ::kill(m_pid, number);
+}
+
+std::optional<int> platform_process::waitForExit(std::chrono::milliseconds limit)
+{
+    const auto until = std::chrono::steady_clock::now() + limit;
+    int status = 0;
+    while (m_pid > 0) {
+        if (::waitpid(m_pid, &status, WNOHANG) == m_pid) {
+            m_pid = 0;
+            return WIFEXITED(status) ? std::optional<int>(WEXITSTATUS(status)) : std::nullopt;
+        }
+        if (std::chrono::steady_clock::now() >= until)
+            return std::nullopt;
+        std::this_thread::sleep_for(exitPollInterval);
+    }
+    return std::nullopt;
+}
+
 bool platform_process::isRunning() const
 {
     return m_pid > 0 && ::waitpid(m_pid, nullptr, WNOHANG) == 0;
@@ -137,8 +171,9 @@
 }
 
 platform_processes::platform_processes(std::size_t controls, std::size_t entries,
-                                       std::string memory)
+                                       std::string memory, std::string shutdownLimit)
     : m_memory(std::move(memory))
+    , m_shutdownLimit(std::move(shutdownLimit))
     , m_founders(controls)
 {
     std::random_device random;
@@ -250,7 +285,7 @@
         "[host]\nname = {}-{}\naddress = {}\nzone = {}\nregion = {}\n\n[places]\nzones =\n{}\n"
         "[listen]\ntraffic = {}\nready = {}\ncontrol = {}\ndirectory = {}\nmetrics = {}\n"
         "internal_port = {}\n\n[control]\nseeds = {}\nfounding = true\ndata_folder = {}\n\n"
-        "[process]\nshutdown_limit = 6 s\nmemory = {}\n\n[directory]\nlongest_lifetime = 5 s\n\n"
+        "[process]\nshutdown_limit = {}\nmemory = {}\n\n[directory]\nlongest_lifetime = 5 s\n\n"
         "[retries]\nshare = 0.2\nslack = 64\nwindow = 10 s\n\n[steering]\nlargest_shift = 0.15\n",
         isControl ? "control" : "entry", number,
         endpoint(kind, number, internalPort).address().to_string(), zoneOf(number),
@@ -258,7 +293,7 @@
         listen(isControl, controlPort), listen(!isControl, directoryPort),
         listen(true, metricsPort), internalPort, seeds,
         isControl ? fmt::format("{}/control-{}-data", m_folder.path, number) : std::string(),
-        m_memory);
+        m_shutdownLimit, m_memory);
 }
 
 } // namespace kingcuptiller
--- a/tests/platform/platform_processes.h
+++ b/tests/platform/platform_processes.h
@@ -5,8 +5,10 @@
 
 #include <sys/types.h>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +30,14 @@
     void start();
     // Kills the process without notice.
     void kill();
+    // Sends a signal such as SIGTERM.
+    void signal(int number) const;
+    // Waits until the process has ended by itself, for at most `limit`. Returns its exit status, or
+    // nothing if it still runs or a signal has ended it.
+    [[nodiscard]] std::optional<int> waitForExit(std::chrono::milliseconds limit);
+    // Replaces a text in its settings file.
+    void editSettings(const std::string &from, const std::string &to) const;
+    [[nodiscard]] const std::string &settingsPath() const { return m_settingsPath; }
     // Lets the process have at most `count` open files from its next start on.
     void limitDescriptors(std::size_t count) { m_descriptorLimit = count; }
 
@@ -52,8 +62,10 @@
 class platform_processes
 {
 public:
-    // `memory` is the memory setting of each process, such as "256 MiB".
-    platform_processes(std::size_t controls, std::size_t entries, std::string memory = "256 MiB");
+    // `memory` is the memory setting of each process, such as "256 MiB", and `shutdownLimit` how
+    // long it may take to end after SIGTERM, such as "6 s".
+    platform_processes(std::size_t controls, std::size_t entries, std::string memory = "256 MiB",
+                       std::string shutdownLimit = "6 s");
     ~platform_processes();
     platform_processes(const platform_processes &) = delete;
     platform_processes &operator=(const platform_processes &) = delete;
@@ -86,6 +98,7 @@
     temporary_folder m_folder;
     std::string m_network;
     std::string m_memory;
+    std::string m_shutdownLimit;
     std::size_t m_founders;
     std::vector<platform_process> m_controls;
     std::vector<platform_process> m_entries;
--- a/tests/platform/stand_in_callers.cpp
+++ b/tests/platform/stand_in_callers.cpp
@@ -14,6 +14,7 @@
 
 #include <exception>
 #include <iterator>
+#include <string_view>
 #include <utility>
 
 namespace kingcuptiller {
@@ -25,7 +26,8 @@
 
 namespace {
 
-constexpr milliseconds workTime{5};
+constexpr std::string_view workQuery = "work=";
+constexpr milliseconds defaultWorkTime{5};
 constexpr milliseconds heartbeatInterval{1'000};
 constexpr milliseconds callLimit{1'000};
 constexpr milliseconds clientLimit{2'000};
@@ -54,6 +56,15 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
+milliseconds workTimeOf(const text_request &request)
+{
+    const std::string target(request.target());
+    const std::size_t begin = target.find(workQuery);
+    return begin == std::string::npos
+        ? defaultWorkTime
+        : milliseconds(std::stol(target.substr(begin + workQuery.size())));
+}
+
 } // namespace
 
 std::optional<text_response> call(const tcp_endpoint &where, text_request request,
@@ -72,9 +83,10 @@
 
 stand_in_callers::stand_in_callers(const platform_processes &fleet,
                                    const std::vector<std::string> &services,
-                                   std::size_t upstreamsEach, std::uint32_t seed)
+                                   std::size_t upstreamsEach, std::uint32_t seed, std::size_t slots)
     : m_fleet(fleet)
     , m_random(seed)
+    , m_slots(slots)
     , m_work(asio::make_work_guard(m_context))
 {
     for (const std::string &service : services) {
@@ -112,6 +124,12 @@
     m_entries = std::move(entries);
 }
 
+std::set<std::string> stand_in_callers::startedRequests() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_startedRequests;
+}
+
 std::vector<client_record>
 stand_in_callers::recordsSince(std::chrono::steady_clock::time_point from) const
 {
@@ -143,12 +161,16 @@
             response.result(http::status::misdirected_request);
             response.set("Kingcuptiller-Not-Executed", "1");
         } else {
-            co_await pauseFor(workTime);
+            {
+                const std::lock_guard lock(m_mutex);
+                m_startedRequests.emplace(request["Kingcuptiller-Attempt-Id"]);
+            }
+            co_await pauseFor(workTimeOf(request));
             response.set("Kingcuptiller-Response-Seal", "seal");
             response.body() = upstream.service;
         }
         response.set("Kingcuptiller-Attempt-Id", request["Kingcuptiller-Attempt-Id"]);
-        response.set("Kingcuptiller-Server-Load", "1,0,8");
+        response.set("Kingcuptiller-Server-Load", fmt::format("1,0,{}", m_slots));
         response.prepare_payload();
         co_await http::async_write(stream, response, asio::use_awaitable);
     }
@@ -163,9 +185,9 @@
         const tcp_endpoint own = m_fleet.upstreamEndpoint(upstream.number);
         request.body() = fmt::format(
             R"({{"address":"{}:{}","born":1,"info":{{"service":"{}","version":"v1","zone":"{}",)"
-            R"("slots":8}},"status":{{"state":"ready","sequence":{},"coldRemainingMs":0}}}})",
+            R"("slots":{}}},"status":{{"state":"ready","sequence":{},"coldRemainingMs":0}}}})",
             own.address().to_string(), own.port(), upstream.service,
-            platform_processes::zoneOf(upstream.number), ++upstream.sequence);
+            platform_processes::zoneOf(upstream.number), m_slots, ++upstream.sequence);
         const tcp_endpoint where = m_fleet.controlEndpoint(control % m_fleet.controlCount());
         try {
             (void)co_await exchange(where, request, callLimit);
--- a/tests/platform/stand_in_callers.h
+++ b/tests/platform/stand_in_callers.h
@@ -15,6 +15,7 @@
 #include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -36,14 +37,15 @@
 };
 
 // Stand-in upstreams and clients of a fleet, in one thread. Upstreams announce themselves and
-// answer each request with the name of their service. Clients send requests, each on a new
+// answer each request with the name of their service, after as many milliseconds as the query
+// `work=` of its path says, or a few if it has none. Clients send requests, each on a new
 // connection, to random entries out of those that are in use.
 class stand_in_callers
 {
 public:
-    // Each service gets `upstreamsEach` upstreams.
+    // Each service gets `upstreamsEach` upstreams, which announce `slots` slots each.
     stand_in_callers(const platform_processes &fleet, const std::vector<std::string> &services,
-                     std::size_t upstreamsEach, std::uint32_t seed);
+                     std::size_t upstreamsEach, std::uint32_t seed, std::size_t slots = 8);
     ~stand_in_callers();
     stand_in_callers(const stand_in_callers &) = delete;
     stand_in_callers &operator=(const stand_in_callers &) = delete;
@@ -55,6 +57,8 @@
     // The requests of clients that were sent from `from` on and have ended.
     [[nodiscard]] std::vector<client_record>
     recordsSince(std::chrono::steady_clock::time_point from) const;
+    // The ids of the requests that upstreams have begun to run.
+    [[nodiscard]] std::set<std::string> startedRequests() const;
 
 private:
     using tcp = boost::asio::ip::tcp;
@@ -76,10 +80,12 @@
 
     const platform_processes &m_fleet;
     std::mt19937_64 m_random;
+    std::size_t m_slots;
     std::vector<stand_in_upstream> m_upstreams;
     mutable std::mutex m_mutex;
     std::vector<std::size_t> m_entries;
     std::vector<client_record> m_records;
+    std::set<std::string> m_startedRequests;
     boost::asio::io_context m_context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     std::thread m_thread;
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -141,6 +141,21 @@
         applied.get_future().wait();
     }
 
+    // Tells the relay and its server that the process exits after this time. Returns when they know
+    // it.
+    void leave(milliseconds remaining)
+    {
+        std::promise<void> told;
+        asio::post(m_context, [&] {
+            m_relay.setProcessEnd(readInstant() + remaining);
+            m_server.startLeaving(
+                [this](const request_head &head) { return m_relay.rejectBeforeExit(head); });
+            m_server.rejectUnfinishedRequests();
+            told.set_value();
+        });
+        told.get_future().wait();
+    }
+
     void runPeriodicTasks()
     {
         asio::post(m_context, [this] { m_relay.runPeriodicTasks(); });
