A control host answers the calls that it has read before it ends

Operators and upstreams whose calls a control host had read when SIGTERM came found their connections closed, and did not know whether an order was in force: the event loop was stopped at once. Calls that other hosts had passed on to a leader that was stopped waited for 0.9 s.

process_signals_test::controlHostAnswersItsCallsBeforeItEnds failed on at the first host and passes now.

--- a/include/kingcuptiller/node/control_node.h
+++ b/include/kingcuptiller/node/control_node.h
@@ -110,6 +110,11 @@
     // caller waits.
     [[nodiscard]] boost::asio::awaitable<result_code> withdraw(upstream_id id,
                                                                caller_check isWaiting);
+    // Prepares for the end of the process: calls that other hosts pass on from now on are answered
+    // with `not_leader`, so that their callers ask again at once.
+    void leave();
+    // Whether calls that other hosts have passed on wait for their answers.
+    [[nodiscard]] bool hasOpenPeerCalls() const { return m_openPeerCalls.use_count() > 1; }
     // The newest configuration as it was sent; nothing when this host cannot be sure of it.
     [[nodiscard]] boost::asio::awaitable<std::optional<std::string>> readDocument();
 
@@ -280,6 +285,9 @@
     std::map<upstream_id, heartbeat_number> m_answeredHeartbeats;
     std::set<endpoint_address> m_presentEntries;
     instant m_heartbeatReportTime;
+    bool m_leaving = false;
+    // Shared by the calls that other hosts have passed on and that have no answer yet.
+    std::shared_ptr<const char> m_openPeerCalls = std::make_shared<const char>();
     std::uint64_t m_nextCall = 1;
     std::map<std::uint64_t, waiting_call> m_calls;
 };
--- a/src/node/control_calls.cpp
+++ b/src/node/control_calls.cpp
@@ -188,14 +188,32 @@
     const Json::Value object = internal::parseJsonObject(body);
     const host_id from(internal::stringField(object, "from"));
     const std::uint64_t id = internal::unsignedField(object, "id");
-    answerHere({internal::stringField(object, "operation"), internal::stringField(object, "body")},
-               [this, from, id](const call_answer &answer) {
-                   Json::Value reply;
-                   reply["id"] = Json::UInt64(id);
-                   reply["code"] = std::string(name(answer.code));
-                   reply["body"] = answer.body;
-                   sendTo(from, frame_kind::reply, internal::writeCompactJson(reply));
-               });
+    const call_text text{internal::stringField(object, "operation"),
+                         internal::stringField(object, "body")};
+    const call_reply reply = [this, from, id](const call_answer &answer) {
+        Json::Value message;
+        message["id"] = Json::UInt64(id);
+        message["code"] = std::string(name(answer.code));
+        message["body"] = answer.body;
+        sendTo(from, frame_kind::reply, internal::writeCompactJson(message));
+    };
+    if (m_leaving) {
+        reply({result_code::not_leader, {}});
+        return;
+    }
+    answerHere(text, [reply, open = m_openPeerCalls](const call_answer &answer) { reply(answer); });
+}
+
+void control_node::leave()
+{
+    m_leaving = true;
+    log_line(log_level::info, "control", "leaves")
+        .field("host", m_options.host.text())
+        .field("leading", m_control->isLeading() ? 1 : 0)
+        .field("open_peer_calls", hasOpenPeerCalls() ? 1 : 0);
+    // The leader must not take the upstreams that were answered here for silent ones.
+    m_heartbeatReportTime = m_options.now();
+    reportHeartbeats();
 }
 
 void control_node::noteReply(const std::string &body)
--- a/tests/platform/process_signals_test.cpp
+++ b/tests/platform/process_signals_test.cpp
@@ -42,6 +42,20 @@
     return request;
 }
 
+// Whether the host answers a read of the configuration, which it cannot without a leader.
+bool waitUntilServing(const tcp_endpoint &control)
+{
+    const auto until = std::chrono::steady_clock::now() + startLimit;
+    while (std::chrono::steady_clock::now() < until) {
+        const auto response =
+            call(control, makeRequest(http::verb::delete_, "/v1/evacuations/zone-0"), callLimit);
+        if (response && response->result() == http::status::ok)
+            return true;
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return false;
+}
+
 // A process that waits for its settings while it starts, because they come from a pipe.
 class starting_process
 {
@@ -83,6 +97,7 @@
     CPPUNIT_TEST_SUITE(process_signals_test);
     CPPUNIT_TEST(signalsDuringTheStartAreHandledAfterIt);
     CPPUNIT_TEST(changedShutdownLimitHolds);
+    CPPUNIT_TEST(controlHostAnswersItsCallsBeforeItEnds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -121,6 +136,40 @@
         }
     }
 
+    // Guards against orders of operators and upstreams that a control host has read and leaves
+    // without an answer when it is stopped, whether it leads or not.
+    void controlHostAnswersItsCallsBeforeItEnds()
+    {
+        constexpr std::size_t hosts = 3;
+        platform_processes fleet(hosts, 0);
+        fleet.start(0);
+        for (std::size_t i = 0; i < hosts; ++i)
+            CPPUNIT_ASSERT(waitUntilServing(fleet.controlEndpoint(i)));
+        // Each host in turn, so one of them leads when it is stopped.
+        for (std::size_t stopped = 0; stopped < hosts; ++stopped) {
+            std::vector<std::future<std::optional<text_response>>> orders;
+            for (std::size_t i = 0; i < hosts; ++i)
+                orders.push_back(std::async(std::launch::async, [&fleet, i] {
+                    return call(fleet.controlEndpoint(i),
+                                makeRequest(http::verb::post,
+                                            fmt::format("/v1/evacuations/{}",
+                                                        platform_processes::zoneOf(i))),
+                                callLimit);
+                }));
+            std::this_thread::sleep_for(orderLead);
+            fleet.control(stopped).signal(SIGTERM);
+            for (auto &order : orders) {
+                const std::optional<text_response> response = order.get();
+                CPPUNIT_ASSERT_MESSAGE(fmt::format("host {} stopped", stopped),
+                                       response.has_value());
+            }
+            CPPUNIT_ASSERT(fleet.control(stopped).waitForExit(exitLimit) == 0);
+            fleet.control(stopped).start();
+            for (std::size_t i = 0; i < hosts; ++i)
+                CPPUNIT_ASSERT(waitUntilServing(fleet.controlEndpoint(i)));
+        }
+    }
+
 private:
     // Returns when the entry serves.
     static void configure(const platform_processes &fleet)
