A leaving entry keeps the time free that clients take to read responses

Clients that read a large response slowly were cut when the process ended: 0.15 s were kept for writing the last responses, whatever clients took. Now the entry keeps as long as clients have lately taken, at most a quarter of the shutdown limit.

traffic_server_test::slowReadersAreNoticed and shutdown_plan_test::slowDeliveriesHaveTheirTime (new interfaces; they do not compile with the earlier code).

--- a/include/kingcuptiller/node/shutdown_plan.h
+++ b/include/kingcuptiller/node/shutdown_plan.h
@@ -19,9 +19,11 @@
 };
 
 // Plans the end of a process that is told at `now` to end and is killed after `shutdownLimit`.
-// `addressLifetime` is the lifetime that the directory states for its address.
+// `addressLifetime` is the lifetime that the directory states for its address, and `delivery` the
+// time that clients take to read a response; of this at most a quarter of the limit is set aside.
 [[nodiscard]] shutdown_plan planShutdown(instant now, milliseconds shutdownLimit,
-                                         milliseconds addressLifetime);
+                                         milliseconds addressLifetime,
+                                         milliseconds delivery = milliseconds(0));
 
 // The longest lifetime of an address with which no client still holds the address of an entry when
 // the entry ends; at most `configured`.
--- a/include/kingcuptiller/relay/traffic_server.h
+++ b/include/kingcuptiller/relay/traffic_server.h
@@ -3,6 +3,7 @@
 #include "kingcuptiller/fleet/traffic_configuration.h"
 #include "kingcuptiller/relay/byte_budget.h"
 #include "kingcuptiller/relay/http_types.h"
+#include "kingcuptiller/relay/recent_maximum.h"
 #include "kingcuptiller/relay/request_body.h"
 #include "kingcuptiller/values/time.h"
 
@@ -122,6 +123,9 @@
     // Rejects the requests whose bodies are being received and that `rejects` of `startLeaving` now
     // rejects. Call it regularly.
     void rejectUnfinishedRequests();
+    // Returns the longest time that a client has lately taken to read its response: small unless
+    // responses are large or clients read slowly.
+    [[nodiscard]] milliseconds longestDelivery();
     // Closes idle connections. Connections with a request in progress are closed after its
     // response.
     void startDraining();
@@ -200,6 +204,7 @@
     byte_budget m_largeBodies;
     byte_budget m_smallBodies;
     body_streaming_rule m_streamsBody;
+    recent_maximum m_deliveries;
     // Set while the process is about to end.
     head_check m_rejects;
     bool m_leaving = false;
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -303,7 +303,8 @@
     if (std::exchange(m_leaving, true))
         return;
     const instant now = readInstant();
-    shutdown_plan plan = planShutdown(now, m_settings.shutdownLimit, addressLifetime());
+    shutdown_plan plan =
+        planShutdown(now, m_settings.shutdownLimit, addressLifetime(), m_server->longestDelivery());
     // No directory has named an entry that has not served yet.
     if (!m_relay.ready())
         plan.addressExpiry = now;
--- a/src/node/shutdown_plan.cpp
+++ b/src/node/shutdown_plan.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds exitReserve{300};
 constexpr milliseconds lastResponsesTime{150};
 constexpr int shortLimitDivisor = 8;
+// Clients that read slowly do not keep out the requests of all others.
+constexpr int deliveryDivisor = 4;
 constexpr milliseconds minAddressLifetime{100};
 
 milliseconds partOf(milliseconds reserve, milliseconds shutdownLimit)
@@ -30,11 +32,15 @@
 
 } // namespace
 
-shutdown_plan planShutdown(instant now, milliseconds shutdownLimit, milliseconds addressLifetime)
+shutdown_plan planShutdown(instant now, milliseconds shutdownLimit, milliseconds addressLifetime,
+                           milliseconds delivery)
 {
     const instant end = now + timeUntilEnd(shutdownLimit);
-    return {std::min(now + removalTime + heldLifetimes * addressLifetime, end),
-            end - partOf(lastResponsesTime, shutdownLimit), end};
+    const milliseconds lastResponses =
+        std::max(partOf(lastResponsesTime, shutdownLimit),
+                 std::min(delivery, shutdownLimit / deliveryDivisor));
+    return {std::min(now + removalTime + heldLifetimes * addressLifetime, end), end - lastResponses,
+            end};
 }
 
 milliseconds limitAddressLifetime(milliseconds configured, milliseconds shutdownLimit)
--- a/src/relay/traffic_server.cpp
+++ b/src/relay/traffic_server.cpp
@@ -53,6 +53,8 @@
 // Delay after a failed accept, which usually means that the process has no free file descriptors.
 constexpr milliseconds acceptRetryDelay{50};
 constexpr milliseconds answeredCheckInterval{5};
+// Deliveries of responses are remembered for one to two of these periods.
+constexpr std::chrono::seconds deliveryPeriod{30};
 
 auto redirectErrorTo(error_code &errorCode)
 {
@@ -147,6 +149,7 @@
     , m_largeBodies(capacity.largeBodyBytes)
     , m_smallBodies(capacity.largeBodyBytes / smallBodiesDivisor)
     , m_streamsBody(std::move(streamsBody))
+    , m_deliveries(deliveryPeriod)
 {
     asio::co_spawn(m_context, acceptConnections(), asio::detached);
 }
@@ -196,6 +199,11 @@
     }
 }
 
+milliseconds traffic_server::longestDelivery()
+{
+    return std::chrono::ceil<milliseconds>(m_deliveries.at(asio::steady_timer::clock_type::now()));
+}
+
 asio::awaitable<void> traffic_server::waitUntilAnswered(milliseconds limit)
 {
     asio::steady_timer pause(m_context);
@@ -554,6 +562,7 @@
     const bool isHeadRequest = client->request.method() == http::verb::head;
     response.keep_alive(keepAlive && !m_leaving && !m_draining && !isBodyUnread);
     client->stream.expiresAfter(writeTimeout);
+    const auto writeStart = asio::steady_timer::clock_type::now();
     if (isHeadRequest) {
         http::response_serializer<http::string_body> serializer(response);
         serializer.split(true);
@@ -561,6 +570,9 @@
     } else {
         co_await http::async_write(client->stream, response, redirectErrorTo(errorCode));
     }
+    const auto writeEnd = asio::steady_timer::clock_type::now();
+    if (!errorCode)
+        m_deliveries.record(writeEnd - writeStart, writeEnd);
     if (!errorCode && isBodyUnread)
         co_await discardInput(*client);
     co_return !errorCode && response.keep_alive();
--- a/tests/node/shutdown_plan_test.cpp
+++ b/tests/node/shutdown_plan_test.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST_SUITE(shutdown_plan_test);
     CPPUNIT_TEST(addressesExpireBeforeTheProcessEnds);
     CPPUNIT_TEST(processEndsBeforeItIsKilled);
+    CPPUNIT_TEST(slowDeliveriesHaveTheirTime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -78,6 +79,22 @@
             CPPUNIT_ASSERT_MESSAGE(name, plan.processEnd < now + limit);
         }
     }
+
+    // Guards against responses that clients are still reading when the process ends, and against
+    // one slow client for which all others are rejected.
+    void slowDeliveriesHaveTheirTime()
+    {
+        const instant now(std::chrono::hours(1));
+        const auto timeForDelivery = [now](milliseconds delivery) {
+            const shutdown_plan plan =
+                planShutdown(now, milliseconds(8'000), milliseconds(2'000), delivery);
+            return std::chrono::duration_cast<milliseconds>(plan.processEnd - plan.lastResponse);
+        };
+        const milliseconds usual = timeForDelivery(milliseconds(0));
+        CPPUNIT_ASSERT(timeForDelivery(milliseconds(1)) == usual);
+        CPPUNIT_ASSERT(timeForDelivery(milliseconds(1'200)) == milliseconds(1'200));
+        CPPUNIT_ASSERT(timeForDelivery(milliseconds(10'000)) == milliseconds(2'000));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(shutdown_plan_test);
--- a/tests/relay/traffic_server_test.cpp
+++ b/tests/relay/traffic_server_test.cpp
@@ -1,5 +1,6 @@
 #include "kingcuptiller/relay/traffic_server.h"
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -19,6 +20,9 @@
 constexpr int eventLoopRunsUntilAccepted = 5;
 // More than the number of handlers that run when the timeout of an idle connection expires.
 constexpr int maximumHandlers = 6;
+// More than the buffers of both ends of a connection hold.
+constexpr std::size_t largeResponseBytes = 48'000'000;
+constexpr milliseconds readingDelay{300};
 
 client_limits shortLimits()
 {
@@ -34,6 +38,7 @@
     CPPUNIT_TEST_SUITE(traffic_server_test);
     CPPUNIT_TEST(drainDuringIdleTimeoutDoesNotThrow);
     CPPUNIT_TEST(requestOfClosedConnectionIsDropped);
+    CPPUNIT_TEST(slowReadersAreNoticed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -89,6 +94,39 @@
                                          handledRequests);
         }
     }
+
+    // Guards against ending the process while clients usually still read the response.
+    void slowReadersAreNoticed()
+    {
+        asio::io_context context;
+        traffic_server server(
+            context, parseTcpEndpoint("127.0.0.1:0"),
+            [](const relay_request &,
+               client_disconnect_signal &) -> asio::awaitable<relay_response> {
+                co_return makeTextResponse(boost::beast::http::status::ok,
+                                           std::string(largeResponseBytes, 'r'));
+            },
+            [] { return client_limits(); });
+        CPPUNIT_ASSERT(server.longestDelivery() == milliseconds(0));
+        const tcp_endpoint address = server.address();
+        std::thread client([address] {
+            asio::io_context clientContext;
+            asio::ip::tcp::socket socket(clientContext);
+            socket.connect(address);
+            const std::string request = "GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+            asio::write(socket, asio::buffer(request));
+            std::this_thread::sleep_for(readingDelay);
+            std::string response;
+            boost::system::error_code ignored;
+            asio::read(socket, asio::dynamic_buffer(response), ignored);
+        });
+        while (server.longestDelivery() == milliseconds(0) || server.requestsInProgress() > 0) {
+            context.run_for(eventLoopRunTime);
+            context.restart();
+        }
+        client.join();
+        CPPUNIT_ASSERT(server.longestDelivery() >= readingDelay / 2);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(traffic_server_test);
