--- a/review/kit-3.h
+++ b/review/kit-3.h
@@ -30,6 +30,7 @@
 #include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <thread>
@@ -577,6 +578,12 @@
     {
         return order(m_record, controls, "PUT", "/v1/instances/" + m_id, heartbeat(++m_sequence));
     }
+    // Whether the head of this request has arrived.
+    [[nodiscard]] bool hasReceived(const std::string &request) const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_received.contains(request);
+    }
     [[nodiscard]] std::vector<run> runs() const
     {
         const std::lock_guard lock(m_mutex);
@@ -598,9 +605,16 @@
         connection link(socket);
         while (const auto request = readMessage(link)) {
             const std::string requestId = request->field("kingcuptiller-attempt-id");
+            {
+                const std::lock_guard lock(m_mutex);
+                m_received.insert(requestId);
+            }
             // The bytes of an unfinished request never become work.
-            if (!request->isComplete)
+            if (!request->isComplete) {
+                m_record.line(m_id + " got a part of " + requestId + ": "
+                              + std::to_string(request->bodyBytes) + " bytes of its body");
                 return;
+            }
             const std::string expected = request->field("kingcuptiller-expect-instance");
             if (!expected.empty() && expected != m_id) {
                 link.send("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n"
@@ -637,6 +651,7 @@
     int m_sequence = 0;
     mutable std::mutex m_mutex;
     std::vector<run> m_runs;
+    std::set<std::string> m_received;
 };
 
 inline std::string requestHead(const std::string &method, const std::string &path,
