--- a/review/12/driver.cpp
+++ b/review/12/driver.cpp
@@ -1,5 +1,6 @@
-// A few clients send large uploads slowly. Meanwhile an ordinary client sends uploads of the usual
-// size on one kept connection after the other.
+// Another writer sends one heartbeat that cannot be read to each control host, with a body of some
+// megabytes. The platform ends a process that uses more memory than its settings say, and starts it
+// again. Three rounds.
 
 #include "kit-3.h"
 
@@ -7,111 +8,99 @@
 
 namespace {
 
-constexpr std::size_t slowBodyBytes = 60'000'000;
-// What a slow client sends of its body before it pauses: together a quarter of the entry's memory.
-constexpr std::size_t slowSentBytes = 7'300'000;
-constexpr int slowClients = 4;
-constexpr std::size_t ordinaryBodyBytes = 200'000;
-constexpr int ordinaryUploads = 60;
+constexpr int rounds = 3;
+constexpr std::size_t bodyBytes = 10'000'000;
+constexpr std::size_t calmBodyBytes = 1'000;
 
-// Sends the begin of a large upload, waits for its answer, and starts again.
-void uploadSlowly(record_file &record, const endpoint &entry, int number,
-                  const std::atomic<bool> &ends)
+// A list of numbers without its end.
+std::string unreadableHeartbeat(std::size_t bytes)
 {
-    const std::string piece(50'000, 's');
-    for (int round = 1; !ends; ++round) {
-        const std::string id = "slow-" + std::to_string(number) + "-" + std::to_string(round);
-        connection link;
-        if (!link.open(entry, milliseconds(1'000)))
-            continue;
-        link.send(requestHead("POST", "/uploads/slow", id)
-                  + "Content-Length: " + std::to_string(slowBodyBytes) + "\r\n\r\n");
-        record.line(id + " begins");
-        bool isOpen = true;
-        for (std::size_t sent = 0; sent < slowSentBytes && isOpen && !ends; sent += piece.size()) {
-            isOpen = link.send(piece);
-            pauseFor(milliseconds(1));
-        }
-        link.setLimit(milliseconds(5'000));
-        const auto answer = isOpen ? readMessage(link) : std::nullopt;
-        record.line(id + (answer ? " got '" + answer->firstLine + "'" : " got no answer"));
-        pauseFor(milliseconds(200));
-    }
+    std::string body = R"({"address":"127.0.0.1:9","info":{"service":"archive","slots":[)";
+    while (body.size() < bytes)
+        body += "1,";
+    return body;
 }
 
-struct upload_counts
+struct control_result
 {
-    int answered = 0;
-    int refused = 0;
-    int failed = 0;
-    // Closed without an answer, after the upstream had got the request.
-    int lost = 0;
+    std::atomic<int> kills = 0;
+    std::atomic<int> mostMb = 0;
 };
 
+// Plays the platform for one control host.
+void watchMemory(record_file &record, platform &fleet, platform::host &control,
+                 control_result &result, const std::atomic<bool> &ends)
+{
+    while (!ends) {
+        const int now = platform::memoryMb(control);
+        result.mostMb = std::max<int>(result.mostMb, now);
+        if (now > control.memoryMb) {
+            record.line("platform: " + control.name + " uses " + std::to_string(now) + " MiB of "
+                        + std::to_string(control.memoryMb) + " and is killed");
+            platform::end(control, SIGKILL);
+            ++result.kills;
+            pauseFor(milliseconds(500));
+            fleet.start(control);
+        }
+        pauseFor(milliseconds(5));
+    }
+}
+
 int script(record_file &record)
 {
-    // The memory of a front machine of the deployment that has uploads.
-    platform fleet(record, 3, 1, 112);
+    platform fleet(record, 3, 1, 260);
     const auto controls = fleet.controls();
-    if (!order(record, controls, "PUT", "/v1/config",
-               manifest(1, 0,
-                        {{"uploads", "/uploads/", "upload", "storage"},
-                         {"reads", "/reads/", "safe", "storage"}})))
+    const std::vector<route> routes = {{"reads", "/reads/", "safe", "archive"}};
+    if (!order(record, controls, "PUT", "/v1/config", manifest(1, 0, routes)))
         return not_run;
-    std::vector<std::unique_ptr<upstream>> storage;
-    for (int i = 0; i < 3; ++i) {
-        storage.push_back(std::make_unique<upstream>(record, "storage-" + std::to_string(i + 1),
-                                                     "storage", fleet.address(0, 201 + i),
-                                                     fleet.zone(0)));
-        if (!storage.back()->announce(controls))
-            return not_run;
-    }
-    if (!fleet.waitUntilReady(milliseconds(10'000)))
+    upstream archive(record, "archive-1", "archive", fleet.address(0, 201), fleet.zone(0));
+    if (!archive.announce(controls) || !fleet.waitUntilReady(milliseconds(10'000)))
         return not_run;
-    pauseFor(milliseconds(1'000));
-    const endpoint entry = fleet.traffic(fleet.entry(0));
     std::atomic<bool> ends = false;
-    std::vector<std::thread> slow;
-    for (int i = 1; withTrouble() && i <= slowClients; ++i)
-        slow.emplace_back([&, i] { uploadSlowly(record, entry, i, ends); });
-    pauseFor(milliseconds(1'500));
-    upload_counts counts;
-    for (int i = 1; i <= ordinaryUploads; ++i) {
-        const std::string id = "upload-" + std::to_string(i);
-        connection link;
-        // A look-up first: the upload then goes out on a kept connection.
-        if (!link.open(entry, milliseconds(5'000))
-            || !link.send(requestHead("GET", "/reads/1", "read-" + std::to_string(i)) + "\r\n"))
-            return not_run;
-        const auto read = readMessage(link);
-        if (!read || read->status() != 200) {
-            record.line("the look-up before " + id + " was not answered with 200");
-            continue;
+    std::vector<control_result> results(controls.size());
+    std::vector<std::thread> watches;
+    for (std::size_t i = 0; i < controls.size(); ++i)
+        watches.emplace_back(
+            [&, i] { watchMemory(record, fleet, fleet.hosts.at(i), results.at(i), ends); });
+    const std::string heartbeat = unreadableHeartbeat(withTrouble() ? bodyBytes : calmBodyBytes);
+    int version = 1;
+    int unacknowledged = 0;
+    for (int round = 1; round <= rounds; ++round) {
+        std::vector<std::thread> writers;
+        for (const endpoint &control : controls) {
+            writers.emplace_back([&, control] {
+                const auto answer = call(control, "PUT", "/v1/instances/elsewhere-1", heartbeat,
+                                         milliseconds(5'000));
+                record.line("heartbeat of " + std::to_string(heartbeat.size()) + " bytes to "
+                            + control.text() + ": "
+                            + (answer ? "'" + answer->firstLine + "'" : "no answer"));
+            });
         }
-        link.send(requestHead("POST", "/uploads/" + std::to_string(i), id)
-                  + "Content-Length: " + std::to_string(ordinaryBodyBytes) + "\r\n\r\n"
-                  + std::string(ordinaryBodyBytes, 'u'));
-        const auto answer = readMessage(link);
-        const int status = answer ? answer->status() : 0;
-        record.line(id + (answer ? " got '" + answer->firstLine + "'" : ": closed, no answer"));
-        const bool isReached = std::any_of(storage.begin(), storage.end(),
-                                           [&](const auto &each) { return each->hasReceived(id); });
-        counts.answered += status == 200 ? 1 : 0;
-        counts.refused += status == 503 || status == 429 ? 1 : 0;
-        counts.failed += status != 0 && status != 200 && status != 503 && status != 429 ? 1 : 0;
-        counts.lost += status == 0 && isReached ? 1 : 0;
-        pauseFor(milliseconds(100));
+        for (std::thread &each : writers)
+            each.join();
+        pauseFor(milliseconds(4'000));
+        // The operator's next change.
+        const bool isAcknowledged =
+            order(record, controls, "PUT", "/v1/config", manifest(version + 1, version, routes));
+        unacknowledged += isAcknowledged ? 0 : 1;
+        version += isAcknowledged ? 1 : 0;
     }
     ends = true;
-    for (std::thread &each : slow)
+    for (std::thread &each : watches)
         each.join();
-    record.line("uploads of the ordinary client: answered 200 " + std::to_string(counts.answered)
-                + ", refused " + std::to_string(counts.refused) + ", failed with another status "
-                + std::to_string(counts.failed) + ", passed on and closed without an answer "
-                + std::to_string(counts.lost));
-    if (!fleet.runs(fleet.entry(0)) || (!withTrouble() && counts.answered < ordinaryUploads))
-        return withTrouble() ? broken : not_run;
-    return counts.lost > 3 ? broken : held;
+    int ended = 0;
+    for (std::size_t i = 0; i < results.size(); ++i) {
+        const control_result &each = results.at(i);
+        record.line(fleet.hosts.at(i).name + ": most memory " + std::to_string(each.mostMb)
+                    + " MiB, killed " + std::to_string(each.kills) + " times");
+        ended += each.kills >= 3 ? 1 : 0;
+    }
+    record.line("control hosts that ended three times: " + std::to_string(ended) + " of "
+                + std::to_string(results.size())
+                + "; changes without an ack: " + std::to_string(unacknowledged));
+    if (!withTrouble() && unacknowledged > 0)
+        return not_run;
+    return ended * 2 >= static_cast<int>(results.size()) ? broken : held;
 }
 
 } // namespace
