--- a/review/12/driver.cpp
+++ b/review/12/driver.cpp
@@ -53,7 +53,8 @@
     const std::vector<route> routes = {{"reads", "/reads/", "safe", "archive"}};
     if (!order(record, controls, "PUT", "/v1/config", manifest(1, 0, routes)))
         return not_run;
-    upstream archive(record, "archive-1", "archive", fleet.address(0, 201), fleet.zone(0));
+    upstream &archive =
+        *new upstream(record, "archive-1", "archive", fleet.address(0, 201), fleet.zone(0));
     if (!archive.announce(controls) || !fleet.waitUntilReady(milliseconds(10'000)))
         return not_run;
     std::atomic<bool> ends = false;
--- a/review/15/driver.cpp
+++ b/review/15/driver.cpp
@@ -35,12 +35,14 @@
     if (!order(record, controls, "PUT", "/v1/config",
                manifest(1, 0, {{"reads", "/reads/", "safe", "archive"}})))
         return not_run;
-    upstream stays(record, "archive-1", "archive", fleet.address(0, 201), fleet.zone(0));
+    upstream &stays =
+        *new upstream(record, "archive-1", "archive", fleet.address(0, 201), fleet.zone(0));
     if (!stays.announce(controls) || !fleet.waitUntilReady(milliseconds(10'000)))
         return not_run;
 
     // The first lifetime registers and leaves.
-    upstream returns(record, "archive-2", "archive", fleet.address(0, 202), fleet.zone(0));
+    upstream &returns =
+        *new upstream(record, "archive-2", "archive", fleet.address(0, 202), fleet.zone(0));
     const std::string path = "/v1/instances/" + returns.id();
     const std::int64_t born = 1'800'000'000'000;
     if (!order(record, controls, "PUT", path, returns.heartbeat(1, born))
--- a/review/kit-3.h
+++ b/review/kit-3.h
@@ -534,6 +534,7 @@
 }
 
 // An upstream. It runs each request that arrives whole, after `work`, and answers with its receipt.
+// Made with `new` and never destroyed: its threads run until the end of the script.
 class upstream
 {
 public:
