--- a/review/12/driver.cpp
+++ b/review/12/driver.cpp
@@ -1,6 +1,5 @@
-// Another writer sends one heartbeat that cannot be read to each control host, with a body of some
-// megabytes. The platform ends a process that uses more memory than its settings say, and starts it
-// again. Three rounds.
+// A client reads a large response slowly. Some seconds later the entry gets SIGTERM while upstreams
+// are at work on postings that end well before the end of the grace time.
 
 #include "kit-3.h"
 
@@ -8,100 +7,103 @@
 
 namespace {
 
-constexpr int rounds = 3;
-constexpr std::size_t bodyBytes = 10'000'000;
-constexpr std::size_t calmBodyBytes = 1'000;
+constexpr int graceMs = 6'000;
+constexpr int timeoutMs = 8'000;
+constexpr int postings = 4;
+constexpr milliseconds postingWork{4'700};
+constexpr std::size_t largeBytes = 7'000'000;
+constexpr milliseconds readingPause{2'000};
 
-// A list of numbers without its end.
-std::string unreadableHeartbeat(std::size_t bytes)
+// Gets a large response. A slow reader begins to read it only after a pause.
+bool download(record_file &record, const endpoint &entry, bool isSlow)
 {
-    std::string body = R"({"address":"127.0.0.1:9","info":{"service":"archive","slots":[)";
-    while (body.size() < bytes)
-        body += "1,";
-    return body;
-}
-
-struct control_result
-{
-    std::atomic<int> kills = 0;
-    std::atomic<int> mostMb = 0;
-};
-
-// Plays the platform for one control host.
-void watchMemory(record_file &record, platform &fleet, platform::host &control,
-                 control_result &result, const std::atomic<bool> &ends)
-{
-    while (!ends) {
-        const int now = platform::memoryMb(control);
-        result.mostMb = std::max<int>(result.mostMb, now);
-        if (now > control.memoryMb) {
-            record.line("platform: " + control.name + " uses " + std::to_string(now) + " MiB of "
-                        + std::to_string(control.memoryMb) + " and is killed");
-            platform::end(control, SIGKILL);
-            ++result.kills;
-            pauseFor(milliseconds(500));
-            fleet.start(control);
-        }
-        pauseFor(milliseconds(5));
-    }
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int bufferBytes = 65'536;
+    ::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &bufferBytes, sizeof bufferBytes);
+    const sockaddr_in address = socketAddress(entry);
+    if (::connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0)
+        return false;
+    connection link(socket);
+    link.setLimit(milliseconds(6'000));
+    link.send(requestHead("GET", "/archive/1", "download-1", timeoutMs) + "\r\n");
+    if (isSlow)
+        pauseFor(readingPause);
+    const auto answer = readMessage(link);
+    record.line(
+        "download-1 got "
+        + (answer ? "'" + answer->firstLine + "', " + std::to_string(answer->bodyBytes) + " bytes"
+                  : std::string("no answer")));
+    return answer && answer->status() == 200 && answer->isComplete;
 }
 
 int script(record_file &record)
 {
-    platform fleet(record, 3, 1, 260);
+    platform fleet(record, 3, 2, 112);
     const auto controls = fleet.controls();
-    const std::vector<route> routes = {{"reads", "/reads/", "safe", "archive"}};
-    if (!order(record, controls, "PUT", "/v1/config", manifest(1, 0, routes)))
+    if (!order(record, controls, "PUT", "/v1/config",
+               manifest(1, 0,
+                        {{"postings", "/postings/", "unsafe", "ledger", timeoutMs},
+                         {"archive", "/archive/", "safe", "archive", timeoutMs}})))
+        return not_run;
+    upstream &ledger = *new upstream(record, "ledger-1", "ledger", fleet.address(0, 201),
+                                     fleet.zone(0), postingWork);
+    upstream &archive = *new upstream(record, "archive-1", "archive", fleet.address(0, 202),
+                                      fleet.zone(0), milliseconds(10), largeBytes);
+    if (!ledger.announce(controls) || !archive.announce(controls)
+        || !fleet.waitUntilReady(milliseconds(10'000)))
         return not_run;
-    upstream &archive =
-        *new upstream(record, "archive-1", "archive", fleet.address(0, 201), fleet.zone(0));
-    if (!archive.announce(controls) || !fleet.waitUntilReady(milliseconds(10'000)))
+    pauseFor(milliseconds(1'000));
+    platform::host &leaving = fleet.entry(0);
+    const endpoint entry = fleet.traffic(leaving);
+    if (!download(record, entry, withTrouble()))
         return not_run;
-    std::atomic<bool> ends = false;
-    std::vector<control_result> results(controls.size());
-    std::vector<std::thread> watches;
-    for (std::size_t i = 0; i < controls.size(); ++i)
-        watches.emplace_back(
-            [&, i] { watchMemory(record, fleet, fleet.hosts.at(i), results.at(i), ends); });
-    const std::string heartbeat = unreadableHeartbeat(withTrouble() ? bodyBytes : calmBodyBytes);
-    int version = 1;
-    int unacknowledged = 0;
-    for (int round = 1; round <= rounds; ++round) {
-        std::vector<std::thread> writers;
-        for (const endpoint &control : controls) {
-            writers.emplace_back([&, control] {
-                const auto answer = call(control, "PUT", "/v1/instances/elsewhere-1", heartbeat,
-                                         milliseconds(5'000));
-                record.line("heartbeat of " + std::to_string(heartbeat.size()) + " bytes to "
-                            + control.text() + ": "
-                            + (answer ? "'" + answer->firstLine + "'" : "no answer"));
-            });
-        }
-        for (std::thread &each : writers)
-            each.join();
-        pauseFor(milliseconds(4'000));
-        // The operator's next change.
-        const bool isAcknowledged =
-            order(record, controls, "PUT", "/v1/config", manifest(version + 1, version, routes));
-        unacknowledged += isAcknowledged ? 0 : 1;
-        version += isAcknowledged ? 1 : 0;
+    pauseFor(milliseconds(3'000));
+
+    std::atomic<std::int64_t> stoppedAt = 0;
+    std::atomic<int> answered = 0;
+    std::atomic<int> brokenOff = 0;
+    std::vector<std::thread> clients;
+    for (int i = 1; i <= postings; ++i) {
+        clients.emplace_back([&, id = "posting-" + std::to_string(i)] {
+            connection link;
+            link.open(entry, milliseconds(9'000));
+            link.send(requestHead("POST", "/postings/1", id, 10'000) + "Content-Length: 4\r\n\r\n"
+                      + "data");
+            const std::int64_t sentAt = record.now();
+            const auto answer = readMessage(link);
+            const std::int64_t endedAt = record.now();
+            record.line(id + " got "
+                        + (answer ? "'" + answer->firstLine + "'" : std::string("no answer")) + " "
+                        + std::to_string(endedAt - sentAt) + " ms after it was sent, "
+                        + std::to_string(endedAt - stoppedAt) + " ms after SIGTERM");
+            if (answer && answer->status() == 200) {
+                ++answered;
+                return;
+            }
+            // Not counted are the last sixth of the grace time and the end of the route's time.
+            const bool isExcused =
+                endedAt - stoppedAt >= graceMs * 5 / 6 || endedAt - sentAt >= timeoutMs;
+            const auto runs = ledger.runs();
+            const bool isAtWork = std::any_of(runs.begin(), runs.end(),
+                                              [&](const auto &each) { return each.request == id; });
+            brokenOff += isAtWork && !isExcused ? 1 : 0;
+        });
     }
-    ends = true;
-    for (std::thread &each : watches)
+    pauseFor(milliseconds(300));
+    stoppedAt = record.now();
+    record.line("SIGTERM to " + leaving.name);
+    ::kill(leaving.pid, SIGTERM);
+    for (std::thread &each : clients)
         each.join();
-    int ended = 0;
-    for (std::size_t i = 0; i < results.size(); ++i) {
-        const control_result &each = results.at(i);
-        record.line(fleet.hosts.at(i).name + ": most memory " + std::to_string(each.mostMb)
-                    + " MiB, killed " + std::to_string(each.kills) + " times");
-        ended += each.kills >= 3 ? 1 : 0;
-    }
-    record.line("control hosts that ended three times: " + std::to_string(ended) + " of "
-                + std::to_string(results.size())
-                + "; changes without an ack: " + std::to_string(unacknowledged));
-    if (!withTrouble() && unacknowledged > 0)
+    ::waitpid(leaving.pid, nullptr, 0);
+    record.line(leaving.name + " ended " + std::to_string(record.now() - stoppedAt)
+                + " ms after SIGTERM");
+    leaving.pid = -1;
+    record.line("postings answered 200: " + std::to_string(answered)
+                + "; broken off while the upstream was at work: " + std::to_string(brokenOff));
+    if (!withTrouble() && answered < postings)
         return not_run;
-    return ended * 2 >= static_cast<int>(results.size()) ? broken : held;
+    return brokenOff > 0 ? broken : held;
 }
 
 } // namespace
