--- a/review/12/driver.cpp
+++ b/review/12/driver.cpp
@@ -10,7 +10,7 @@
 constexpr int graceMs = 6'000;
 constexpr int timeoutMs = 8'000;
 constexpr int postings = 4;
-constexpr milliseconds postingWork{4'700};
+constexpr milliseconds postingWork{4'800};
 constexpr std::size_t largeBytes = 7'000'000;
 constexpr milliseconds readingPause{2'000};
 
@@ -89,7 +89,7 @@
             brokenOff += isAtWork && !isExcused ? 1 : 0;
         });
     }
-    pauseFor(milliseconds(300));
+    pauseFor(milliseconds(150));
     stoppedAt = record.now();
     record.line("SIGTERM to " + leaving.name);
     ::kill(leaving.pid, SIGTERM);
