--- a/review/12/driver.cpp
+++ b/review/12/driver.cpp
@@ -1,7 +1,7 @@
 // A client reads a large response slowly. Some seconds later the entry gets SIGTERM while upstreams
 // are at work on postings that end well before the end of the grace time.
 
-#include "kit-3.h"
+#include "../kit-3.h"
 
 using namespace review;
 
--- a/review/15/driver.cpp
+++ b/review/15/driver.cpp
@@ -1,7 +1,7 @@
 // An upstream starts again under the id that it had, and is told to leave before its first
 // heartbeat has arrived. Its leaving is acknowledged; then the heartbeat arrives, seconds late.
 
-#include "kit-3.h"
+#include "../kit-3.h"
 
 using namespace review;
 
@@ -54,6 +54,7 @@
     std::atomic<bool> ends = false;
     std::atomic<int> sent = 0;
     std::vector<std::thread> clients;
+    clients.reserve(2);
     for (int number = 0; number < 2; ++number) {
         clients.emplace_back([&, number] {
             for (int i = 0; !ends; ++i) {
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,5 +6,5 @@
 mkdir -p build/review-3
 for source in review/1[1-5]/driver.cpp; do
     case=$(basename "$(dirname "$source")")
-    g++ -std=c++20 -O1 -Wall -Wextra -pthread -I review "$source" -o "build/review-3/driver-$case"
+    g++ -std=c++20 -O1 -Wall -Wextra -pthread "$source" -o "build/review-3/driver-$case"
 done
